--- /dev/null
+++ b/petrelway/__init__.py
@@ -0,0 +1,1 @@
+"""petrelway: an invoker front end of a function platform."""
--- /dev/null
+++ b/petrelway/choice.py
@@ -0,0 +1,645 @@
+"""The decisions of one petrelway front end.
+
+How to call it: make a FrontEnd, tell it all that happens through its input methods (they only
+update what is known), then call decide(now) until it returns None and carry each Decision out.
+released() hands back the indices that may be used anew. The types are in petrelway/interface.py.
+The ordinary path is `choose`; the five rules stand in Gate, which every send passes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+from .interface import (
+    NEVER_RAN,
+    ColdRule,
+    Customer,
+    Decision,
+    Effect,
+    Keeping,
+    Listing,
+    LoadRation,
+    Outcome,
+    Permits,
+    Place,
+    Released,
+    Scope,
+    Stage,
+    Tariff,
+    Verb,
+    Warmth,
+)
+
+# Tuned values. Times in ms.
+VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
+PACE_GAIN = 0.15  # weight of one answer in an executor's pace (latency over size); clipped at PACE_CLIP
+PACE_CLIP = 4.0  # one dear trigger counts at most as this many times the present pace
+UNHEARD_SIZE_MS = 200.0  # size of a trigger before any answer or hint
+UNHEARD_LOAD_MS = 1000.0  # time of a load before one was seen
+REPORT_LIFE_MS = 2000.0  # a report's word on others' triggers fades to nothing over this time
+OVERDUE_FACTOR = 2.5  # a transmission is overdue past this times its expected time ...
+OVERDUE_SLACK_MS = 60.0  # ... plus this
+SECOND_SHARE = 0.1  # further transmissions earned per trigger taken: they cannot feed an overload
+SECOND_SAVED = 15.0  # most of them saved up, enough to rescue what one silent executor held
+AILING_OVERDUE = 2  # so many overdue, and nothing heard since they were sent: silent
+AILING_ERRORS = 0.3  # share of recent answers that are errors
+AILING_PACE = 3.0  # times the median pace
+ERROR_GAIN = 0.2  # weight of one answer in an executor's share of errors
+TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often
+FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time
+LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
+ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
+WINDOW_EARLY_MS = 60.0  # a stamped repeat must arrive this long before its mark is forgotten
+COLD_MARGIN = 0.6  # share of what rule 4 lets a front end send, for bursts and chance
+RATE_SPAN_MS = 10000.0  # span over which fulfilled triggers are averaged for rule 4
+RATION_EDGE_MS = 20.0  # both edges of the ration's window are read to our disadvantage
+ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
+ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
+TIDY_MS = 1000.0  # forgetting is done this often
+FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
+
+
+class Transmission:
+    """One transmission that is out."""
+
+    __slots__ = ("number", "executor", "sent_ms", "due_ms", "skilled", "overdue", "withdrawn")
+
+    def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float, skilled: bool) -> None:
+        self.number = number
+        self.executor = executor
+        self.sent_ms = sent_ms
+        self.due_ms = due_ms
+        self.skilled = skilled
+        self.overdue = False
+        self.withdrawn = False
+
+
+class Trigger:
+    """One trigger, from the taking to the end of its last transmission."""
+
+    __slots__ = ("index", "tariff", "customer", "function", "size", "taken_ms", "answer_by", "quoted_by", "out",
+                 "sent", "ran", "answered", "tried", "gone")
+
+    def __init__(self, index: int, tariff: Tariff, customer: int, function: Function, size: float,
+                 now: float, remaining_ms: float) -> None:
+        self.index = index
+        self.tariff = tariff
+        self.customer = customer
+        self.function = function
+        self.size = size
+        self.taken_ms = now
+        self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
+        self.quoted_by = now + tariff.quoted_ms
+        self.out: dict[int, Transmission] = {}
+        self.sent = 0
+        self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of sends that ended and may have run
+        self.answered = False  # no answer is owed any more
+        self.tried: set[int] = set()  # executors that failed it
+
+
+class Skill:
+    """A line of an executor's resume."""
+
+    __slots__ = ("seen_ms", "copies")
+
+    def __init__(self, seen_ms: float, copies: int = 1) -> None:
+        self.seen_ms = seen_ms
+        self.copies = copies
+
+
+class Executor:
+    """What is known of one executor process."""
+
+    def __init__(self, listing: Listing, now: float) -> None:
+        self.listing = listing
+        self.told_ms = now  # when the present stage was first told
+        self.out: dict[tuple[int, int], Transmission] = {}
+        self.restart(listing)
+
+    def restart(self, listing: Listing) -> None:
+        """A new process: empty, unheard, and well until it shows otherwise."""
+        self.resume: dict[int, Skill] = {}
+        self.lanes_used: dict[int, int] = {}
+        self.pace = 0.0  # 0: unheard
+        self.others, self.report_ms, self.loads = 0.0, -math.inf, 0.0
+        self.errors = 0.0
+        self.heard_ms = -math.inf
+        self.overdue = 0  # transmissions found overdue with nothing heard since they were sent
+        self.full_until = self.trial_at = -math.inf
+        self.cold_sends: deque[float] = deque()
+        self.orders: dict[int, float] = {}  # function -> when ordered
+
+
+class Function:
+    """What is known of one function."""
+
+    def __init__(self, index: int, stable: str, memory_mb: float, lanes: int, load_ms: float) -> None:
+        self.index = index
+        self.stable = stable
+        self.memory_mb = memory_mb
+        self.lanes = max(1, lanes)
+        self.load_ms = load_ms
+        self.mean_ms = 0.0
+        self.used_ms = 0.0
+        self.held: dict[int, None] = {}  # triggers that wait for a copy
+        self.ranks: dict[str, int] = {}
+
+    def rank(self, stable: str) -> int:
+        """A draw that all front ends share without a word: loads of a function meet at one executor."""
+        if stable not in self.ranks:
+            text = f"{self.stable} {stable}".encode()
+            self.ranks[stable] = int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
+        return self.ranks[stable]
+
+
+class Usual:
+    """What a warm executor of each machine kind is seen to carry of this front end's triggers."""
+
+    def __init__(self, start: float, customers: Iterable[Customer], peers: int) -> None:
+        self.start = start
+        self.told_rate = sum(c.rate for c in customers) / 1000.0 / max(1, peers)
+        self.seen: dict[int, tuple[float, float]] = {}  # machine -> decayed count, time
+        self.kept: dict[int, float] = {}
+
+    def fulfilled(self, machine: int, warm: int, now: float) -> None:
+        count, at = self.seen.get(machine, (0.0, now))
+        count = count * math.exp((at - now) / RATE_SPAN_MS) + 1.0
+        self.seen[machine] = (count, now)
+        span = RATE_SPAN_MS * (1.0 - math.exp((self.start - now) / RATE_SPAN_MS)) + RATE_SPAN_MS / 5
+        if warm:
+            self.kept[machine] = count / span / warm
+
+    def rate(self, machine: int, listed: int) -> float:
+        """Triggers per ms. Danger: a restarted front end has no history; then the customers' shares,
+        which the fleet can carry, are split evenly over front ends and executors, and halved."""
+        return max(self.kept.get(machine, 0.0), 0.5 * self.told_rate / max(1, listed))
+
+
+class Gate:
+    """The five rules, at the one place that every transmission, order and final answer passes."""
+
+    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, usual: Usual) -> None:
+        self.permits = permits
+        self.cold = cold
+        self.ration = ration
+        self.usual = usual
+        self.taken: deque[float] = deque()
+        self.ordered: deque[float] = deque()
+
+    def send(self, t: Trigger, e: Executor, listed: int, now: float) -> bool:
+        if t.answered or now >= t.answer_by or t.sent >= self.permits.transmissions:  # rule 1
+            return False
+        if t.out and not self.permits.second_copies:
+            return False
+        if e.listing.stage is not Stage.READY:  # rule 3, without using the grace
+            return False
+        if (t.ran or t.out) and not self._repeat(t, e.listing, now):
+            return False
+        return self._warm_enough(e, listed, now)
+
+    def _repeat(self, t: Trigger, at: Listing, now: float) -> bool:
+        """Rule 2: a trigger that may have run goes out again only where that does no harm."""
+        tariff = t.tariff
+        if tariff.effect is not Effect.STAMPED:
+            return tariff.effect is Effect.HARMLESS
+        earlier = t.ran + [(x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values()]
+        for hall, cell, sent_ms in earlier:
+            if now > sent_ms + tariff.window_ms - WINDOW_EARLY_MS:
+                return False
+            if tariff.scope is Scope.HALL and hall != at.hall or tariff.scope is Scope.CELL and cell != at.cell:
+                return False
+        return True
+
+    def is_cold(self, e: Executor, now: float) -> bool:
+        return now < e.listing.started_ms + self.cold.warm_ms
+
+    def _warm_enough(self, e: Executor, listed: int, now: float) -> bool:
+        """Rule 4: the sum over all front ends is unknown, but if each stays under the least present
+        share of what it usually sends to a warm executor of the kind, so does the sum."""
+        if not self.is_cold(e, now):
+            return True
+        cold = self.cold
+        grown = max(0.0, now - e.listing.started_ms) / cold.warm_ms
+        share = cold.start_share + (1.0 - cold.start_share) * grown
+        rate = COLD_MARGIN * cold.multiple * share * self.usual.rate(e.listing.machine, listed)
+        if rate <= 0.0:
+            return False
+        span = max(cold.span_ms, 1.0 / rate)
+        recent = sum(1 for at in e.cold_sends if at > now - span)
+        return recent + 1 <= rate * span + 1e-9
+
+    def order(self, e: Executor, now: float) -> bool:
+        if e.listing.stage is not Stage.READY:  # rule 3
+            return False
+        return self.orders_left(now) >= 1.0  # rule 5
+
+    def orders_left(self, now: float) -> float:
+        ration = self.ration
+        if ration.window_ms <= 0.0:
+            return math.inf
+        while self.ordered and self.ordered[0] < now - ration.window_ms - RATION_EDGE_MS:
+            self.ordered.popleft()
+        while self.taken and self.taken[0] < now - ration.window_ms + RATION_EDGE_MS:
+            self.taken.popleft()
+        return ration.free + ration.share * len(self.taken) - len(self.ordered)
+
+    def nack(self, t: Trigger) -> bool:
+        """Rule 2: a nack says that a repeat does no harm."""
+        if not (t.ran or t.out) or t.tariff.effect is Effect.HARMLESS:
+            return True
+        return t.tariff.effect is Effect.STAMPED and t.tariff.scope is Scope.ALL
+
+
+class FrontEnd:
+    """One instance: what it knows and what it decides."""
+
+    def __init__(self, now: float, seed: int, place: Place, tariffs: list[Tariff], customers: list[Customer],
+                 permits: Permits, keeping: Keeping, cold: ColdRule, ration: LoadRation) -> None:
+        self.chance = random.Random(seed)
+        self.place = place
+        self.tariffs = tariffs
+        self.permits = permits
+        self.keeping = keeping
+        self.usual = Usual(now, customers, place.peers)
+        self.gate = Gate(permits, cold, ration, self.usual)
+        self.executors: dict[int, Executor] = {}
+        self.ready: list[Executor] = []
+        self.triggers: dict[int, Trigger] = {}
+        self.functions: dict[int, Function] = {}
+        self.attention: deque[int] = deque()
+        self.due: list[tuple[float, int]] = []  # when to look at a trigger; -1: tidy up
+        self.wake_ms = math.inf
+        self.wanted: deque[tuple[Executor, Function]] = deque()
+        self.seconds = SECOND_SAVED
+        self.mean_ms = UNHEARD_SIZE_MS
+        self.load_mean_ms = UNHEARD_LOAD_MS
+        self.median_pace = 1.0
+        self.free = Released([], [], [])
+        heapq.heappush(self.due, (now + TIDY_MS, -1))
+
+    # ---- inputs: they only update what is known
+
+    def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
+        named = set()
+        for listing in listings:
+            named.add(listing.executor)
+            e = self.executors.get(listing.executor)
+            if e is None:
+                self.executors[listing.executor] = Executor(listing, now)
+                continue
+            if listing.started_ms > e.listing.started_ms:
+                e.restart(listing)
+            if listing.stage is not e.listing.stage:
+                e.told_ms = now
+            e.listing = listing
+        if complete:
+            for index, e in self.executors.items():
+                if index not in named and e.listing.stage is not Stage.GONE:
+                    e.listing = e.listing._replace(stage=Stage.GONE)
+                    e.told_ms = now
+        self.ready = [e for e in self.executors.values() if e.listing.stage is Stage.READY]
+        self._look_at_held()
+
+    def function_named(self, now: float, function: int, stable: str, memory_mb: float, lanes: int,
+                       load_ms: float) -> None:
+        """Once for each index, before the function's first trigger."""
+        f = self.functions[function] = Function(function, stable, memory_mb, lanes, load_ms)
+        f.used_ms = now
+
+    def trigger_taken(self, now: float, trigger: int, tariff: int, customer: int, function: int,
+                      remaining_ms: float, work_ms: float) -> None:
+        f = self.functions[function]
+        f.used_ms = now
+        size = work_ms or f.mean_ms or self.mean_ms
+        t = self.triggers[trigger] = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms)
+        self.gate.taken.append(now)
+        self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
+        self.attention.append(trigger)
+        heapq.heappush(self.due, (t.answer_by, trigger))
+
+    def transmission_ended(self, now: float, trigger: int, number: int, executor: int, outcome: Outcome,
+                           took_ms: float, finished: bool, warmth: Warmth, crowd: int, report: Mapping[str, float]) -> None:
+        t = self.triggers.get(trigger)
+        sent = t.out.pop(number, None) if t else None
+        if t is None or sent is None:
+            return
+        e = sent.executor
+        e.out.pop((trigger, number), None)
+        f = t.function
+        left = e.lanes_used.get(f.index, 0) - 1
+        if left > 0:
+            e.lanes_used[f.index] = left
+        else:
+            e.lanes_used.pop(f.index, None)
+        if outcome not in NEVER_RAN:
+            t.ran.append((e.listing.hall, e.listing.cell, sent.sent_ms))
+        t.answered = t.answered or finished
+        if sent.sent_ms >= e.listing.started_ms or not e.listing.started_ms:
+            self._learn(now, t, sent, outcome, took_ms, warmth)
+            self._reported(e, report, now)
+        if outcome not in (Outcome.FULFILLED, Outcome.WITHDRAWN, Outcome.MISS):
+            t.tried.add(e.listing.executor)
+        self.attention.append(trigger)
+
+    def _learn(self, now: float, t: Trigger, sent: Transmission, outcome: Outcome, took_ms: float,
+               warmth: Warmth) -> None:
+        e, f = sent.executor, t.function
+        if outcome in (Outcome.FULFILLED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
+            e.heard_ms, e.overdue = now, 0
+        if outcome is Outcome.FULFILLED:
+            e.errors *= 1.0 - ERROR_GAIN
+            skill = e.resume.setdefault(f.index, Skill(now))
+            skill.seen_ms = now
+            if warmth in (Warmth.FOUND, Warmth.UNTOLD):
+                self._paced(e, t, took_ms, now)
+            elif warmth is Warmth.BEGAN:
+                self._load_seen(f, took_ms - t.size * self._pace(e))
+        elif outcome is Outcome.MISS:
+            e.resume.pop(f.index, None)
+            if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
+                self.wanted.append((e, f))
+        elif outcome is Outcome.FULL:
+            e.full_until = now + FULL_REST_MS
+        elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
+            e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
+        elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
+            e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
+
+    def _paced(self, e: Executor, t: Trigger, took_ms: float, now: float) -> None:
+        f = t.function
+        pace = took_ms / max(1.0, t.size)
+        if e.pace:
+            gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # one on trial is re-read fast
+            pace = min(pace, e.pace * PACE_CLIP)
+            e.pace += gain * (pace - e.pace)
+        else:
+            e.pace = min(pace, self.median_pace * PACE_CLIP)
+        took = min(took_ms, PACE_CLIP * (f.mean_ms or self.mean_ms))
+        f.mean_ms = f.mean_ms + PACE_GAIN * (took - f.mean_ms) if f.mean_ms else took
+        self.mean_ms += 0.02 * (took - self.mean_ms)
+        if not self.gate.is_cold(e, now):
+            kind = e.listing.machine
+            warm = sum(1 for x in self.ready if x.listing.machine == kind and not self.gate.is_cold(x, now))
+            self.usual.fulfilled(kind, warm, now)
+
+    def _load_seen(self, f: Function, took_ms: float) -> None:
+        if took_ms > 0.0:
+            self.load_mean_ms += 0.1 * (min(took_ms, 5 * self.load_mean_ms) - self.load_mean_ms)
+            f.load_ms = f.load_ms + 0.3 * (took_ms - f.load_ms) if f.load_ms else took_ms
+
+    def _reported(self, e: Executor, report: Mapping[str, float], now: float) -> None:
+        if not report:
+            return
+        if "inflight" in report:
+            e.others = max(0.0, report["inflight"] - len(e.out))
+        elif "queue" in report:
+            e.others = report["queue"]
+        e.loads = report.get("x1", e.loads)
+        e.report_ms = now
+
+    def order_answered(self, now: float, executor: int, function: int, outcome: Outcome, copies: int,
+                       took_ms: float) -> None:
+        e, f = self.executors.get(executor), self.functions.get(function)
+        if e is None or f is None:
+            return
+        e.orders.pop(function, None)
+        if outcome is Outcome.FULFILLED and copies > 0:
+            skill = e.resume.setdefault(function, Skill(now))
+            skill.seen_ms, skill.copies = now, copies
+            self._load_seen(f, took_ms)
+        elif outcome is Outcome.FULL:
+            e.full_until = now + FULL_REST_MS
+        elif outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT):
+            e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
+        self.attention.extend(f.held)
+
+    def probe_answered(self, now: float, executor: int, outcome: Outcome, report: Mapping[str, float]) -> None:
+        e = self.executors.get(executor)
+        if e is not None and outcome is Outcome.FULFILLED:
+            self._reported(e, report, now)
+
+    def peer_heard(self, now: float, peer: int, payload: bytes) -> None:
+        """Peers' words are not used yet."""
+
+    def client_gone(self, now: float, trigger: int) -> None:
+        t = self.triggers.get(trigger)
+        if t is not None:
+            t.answered = True
+            self.attention.append(trigger)
+
+    def time_passed(self, now: float) -> None:
+        self.wake_ms = math.inf
+
+    # ---- deciding
+
+    def decide(self, now: float) -> Decision | None:
+        """The next thing to do, or None."""
+        while self.due and self.due[0][0] <= now:
+            _, trigger = heapq.heappop(self.due)
+            if trigger >= 0:
+                self.attention.append(trigger)
+            else:
+                self._tidy(now)
+                heapq.heappush(self.due, (now + TIDY_MS, -1))
+        while self.attention:
+            t = self.triggers.get(self.attention[0])
+            decision = self._for_trigger(t, now) if t is not None else None
+            if decision is not None:
+                return decision
+            self.attention.popleft()
+        while self.wanted:
+            decision = self._order(*self.wanted.popleft(), 1, now)
+            if decision is not None:
+                return decision
+        if self.due and self.due[0][0] < self.wake_ms:
+            self.wake_ms = self.due[0][0]
+            return Decision(Verb.WAKE, ms=self.wake_ms)
+        return None
+
+    def released(self) -> Released:
+        free, self.free = self.free, Released([], [], [])
+        return free
+
+    def _for_trigger(self, t: Trigger, now: float) -> Decision | None:
+        if t.answered:
+            t.function.held.pop(t.index, None)
+            return self._withdraw(t)
+        if now >= t.answer_by:
+            return self._give_up(t, now)
+        if not t.out:
+            return self._place(t, now)
+        return self._second(t, now)
+
+    def _withdraw(self, t: Trigger) -> Decision | None:
+        """Nobody waits for these transmissions any more: spare the executors the work."""
+        for sent in t.out.values():
+            if not sent.withdrawn and self.permits.withdraw:
+                sent.withdrawn = True
+                return Decision(Verb.WITHDRAW, t.index, number=sent.number)
+        if not t.out and self.triggers.pop(t.index, None):
+            self.free.triggers.append(t.index)
+        return None
+
+    def _give_up(self, t: Trigger, now: float) -> Decision:
+        """Rule 1: the one final answer, at once."""
+        t.answered = True
+        if self.gate.nack(t):
+            return Decision(Verb.NACK, t.index, ms=min(self.permits.longest_retry_ms, self.mean_ms))
+        return Decision(Verb.BREAK_OFF, t.index)
+
+    def _place(self, t: Trigger, now: float) -> Decision | None:
+        f = t.function
+        if t.sent >= self.permits.transmissions:
+            return self._give_up(t, now)
+        able = self._able(t, now)
+        e = self.choose(f, able, now) if able else None
+        if e is None or self._awaited(e, f, now):
+            if e is None and t.ran and not any(self.gate.send(t, x, len(self.ready), now) for x in self.ready):
+                if t.tariff.effect is not Effect.HARMLESS:  # nothing may be sent again: say so now
+                    return self._give_up(t, now)
+            f.held[t.index] = None
+            heapq.heappush(self.due, (now + LOOK_AGAIN_MS, t.index))
+            return None
+        return self._send(t, e, now)
+
+    def _awaited(self, e: Executor, f: Function, now: float) -> bool:
+        """Where executors answer miss, a trigger waits for the order rather than miss again."""
+        if not self.keeping.answers_miss or f.index in e.resume:
+            return False
+        return any(self._under_way(x, f, now) for x in self.ready)
+
+    def _under_way(self, e: Executor, f: Function, now: float) -> bool:
+        at = e.orders.get(f.index)
+        return at is not None and now < at + ORDER_LATE * (f.load_ms or self.load_mean_ms)
+
+    def _able(self, t: Trigger, now: float) -> list[Executor]:
+        """Executors that the rules allow, the well ones first: one that ails takes one trigger a while."""
+        out = {x.executor for x in t.out.values()}
+        allowed = [e for e in self.ready if e not in out and self.gate.send(t, e, len(self.ready), now)]
+        untried = [e for e in allowed if e.listing.executor not in t.tried]
+        allowed = untried or allowed
+        well = [e for e in allowed if not self.ailing(e, now) and now >= e.full_until]
+        if t.tariff.effect is Effect.HARMLESS and not t.sent:
+            for e in allowed:
+                if now >= e.trial_at and self.ailing(e, now) and well:
+                    return [e]
+        return well or allowed
+
+    def ailing(self, e: Executor, now: float) -> bool:
+        """Told by symptoms: silence, errors, or answers far slower than the fleet's."""
+        if e.errors > AILING_ERRORS or e.pace > AILING_PACE * self.median_pace:
+            return True
+        return e.overdue >= AILING_OVERDUE
+
+    def choose(self, f: Function, able: list[Executor], now: float) -> Executor:
+        """The design page: the skilled executor with the least weighted backlog; one is passed over only
+        with no free lane by our count and past variance x mean; else overflow to an unskilled one."""
+        load = {e: self.backlog(e, now) for e in self.ready}
+        weight = {e: (load[e], self.chance.random()) for e in able}
+        mean = sum(load.values()) / len(load)
+        limit = VARIANCE * max(mean, self.mean_ms * self.median_pace)
+        skilled = [e for e in able if f.index in e.resume]
+        kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
+        if kept:
+            return min(kept, key=weight.__getitem__)
+        unskilled = [e for e in able if f.index not in e.resume]
+        calm = [e for e in unskilled if weight[e][0] <= limit]
+        if calm:  # the page leaves the executor of a new load open: the shared rank picks it
+            return max(calm, key=lambda e: f.rank(e.listing.stable))
+        return min(unskilled or skilled, key=weight.__getitem__)
+
+    def backlog(self, e: Executor, now: float) -> float:
+        """In flight times the average time of a trigger, in ms; others' triggers as reported."""
+        fresh = max(0.0, 1.0 - (now - e.report_ms) / REPORT_LIFE_MS)
+        return (len(e.out) + e.others * fresh) * self._pace(e) * self.mean_ms
+
+    def _pace(self, e: Executor) -> float:
+        return e.pace or self.median_pace
+
+    def free_lane(self, e: Executor, f: Function) -> bool:
+        return e.lanes_used.get(f.index, 0) < f.lanes * e.resume[f.index].copies
+
+    def _send(self, t: Trigger, e: Executor, now: float) -> Decision | None:
+        f = t.function
+        if not self.gate.send(t, e, len(self.ready), now):
+            return None
+        skilled = f.index in e.resume
+        if self.ailing(e, now):
+            e.trial_at = now + TRIAL_MS
+        expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
+        due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
+        sent = Transmission(t.sent, e, now, due_ms, skilled)
+        t.out[t.sent] = e.out[(t.index, t.sent)] = sent
+        e.lanes_used[f.index] = e.lanes_used.get(f.index, 0) + 1
+        t.sent += 1
+        if not self.keeping.answers_miss and not skilled:
+            e.resume[f.index] = Skill(now)  # it takes the trigger and gains the skill
+        if self.gate.is_cold(e, now):
+            e.cold_sends.append(now)
+        t.function.held.pop(t.index, None)
+        heapq.heappush(self.due, (due_ms, t.index))
+        return Decision(Verb.SEND, t.index, e.listing.executor)
+
+    def _second(self, t: Trigger, now: float) -> Decision | None:
+        """A further transmission beside one that is overdue, if the budget has one."""
+        latest = None
+        for sent in t.out.values():
+            if now >= sent.due_ms and not sent.overdue:
+                sent.overdue = True
+                sent.executor.overdue += sent.sent_ms > sent.executor.heard_ms
+            latest = sent
+        if latest is None or len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
+            return None
+        able = self._able(t, now)
+        if not self.ailing(latest.executor, now):  # only a warm copy is worth it
+            able = [e for e in able if t.function.index in e.resume]
+        if not able:
+            return None
+        self.seconds -= 1.0
+        return self._send(t, self.choose(t.function, able, now), now)
+
+    def _order(self, e: Executor, f: Function, copies: int, now: float) -> Decision | None:
+        if self._under_way(e, f, now) or len(e.orders) >= ORDERS_PER_EXECUTOR or not self.gate.order(e, now):
+            return None
+        e.orders[f.index] = now
+        self.gate.ordered.append(now)
+        return Decision(Verb.ORDER, executor=e.listing.executor, function=f.index, number=copies)
+
+    # ---- upkeep
+
+    def _look_at_held(self) -> None:
+        for f in self.functions.values():
+            self.attention.extend(f.held)
+
+    def _tidy(self, now: float) -> None:
+        """Forget what is stale, so that memory stays bounded."""
+        paces = sorted(e.pace for e in self.ready if e.pace)
+        if paces:
+            self.median_pace = paces[len(paces) // 2]
+        for e in self.executors.values():
+            idle = [i for i, s in e.resume.items()
+                    if now - s.seen_ms > self.keeping.least_keep_ms and i not in e.lanes_used]
+            for index in idle:
+                del e.resume[index]
+            for index, at in list(e.orders.items()):
+                if now > at + 2 * self.keeping.order_timeout_ms:
+                    del e.orders[index]
+            while e.cold_sends and now - e.cold_sends[0] > 2 * self.gate.cold.warm_ms:
+                e.cold_sends.popleft()
+        gone = [i for i, e in self.executors.items()
+                if e.listing.stage is Stage.GONE and not e.out and now > e.told_ms + self.keeping.order_timeout_ms]
+        for index in gone:
+            del self.executors[index]
+        self.free.executors.extend(gone)
+        busy = {t.function.index for t in self.triggers.values()}
+        for e in self.executors.values():
+            busy.update(e.resume, e.orders)
+        stale = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
+        for index in stale:
+            del self.functions[index]
+        self.free.functions.extend(stale)
--- /dev/null
+++ b/petrelway/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The drill: the decision module on the simulator's wire."""
--- /dev/null
+++ b/petrelway/drill/__main__.py
@@ -0,0 +1,59 @@
+"""The loop: one line of events in, one line of actions out."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TextIO
+
+from .codec import Door, WireFault
+
+
+def reply(doors: dict[str, Door], line: str) -> str:
+    """Answer one batch."""
+    try:
+        batch = json.loads(line)
+        clock, items = batch["wallS"], batch["items"]
+        turn = batch["turn"]
+    except (ValueError, KeyError, TypeError) as error:
+        raise WireFault(f"not a batch: {error}") from error
+    now = clock * 1e3
+    awake: dict[str, None] = {}
+    actions: list[list] = []
+    for item in items:
+        try:
+            kind, name = item[0], item[1]
+            if kind == "begin":
+                doors[name] = Door(name, now, item[2], item[3])
+            elif kind == "shutdown":
+                doors.pop(name, None)
+                awake.pop(name, None)
+                continue
+            elif name not in doors:
+                raise WireFault(f"event {kind!r} for {name!r}, which has not begun")
+            else:
+                doors[name].event(now, item)
+            awake[name] = None
+        except (IndexError, KeyError, TypeError, ValueError) as error:
+            raise WireFault(f"malformed event {item!r:.200}: {error!r}") from error
+    for name in awake:
+        actions.extend(doors[name].actions(now))
+    return json.dumps({"turn": turn, "actions": actions}, separators=(",", ":"))
+
+
+def main(source: TextIO, sink: TextIO) -> int:
+    doors: dict[str, Door] = {}
+    for line in source:
+        if not line.strip():
+            continue
+        try:
+            sink.write(reply(doors, line) + "\n")
+        except WireFault as fault:
+            print(f"petrelway.drill: {fault}", file=sys.stderr)
+            return 1
+        sink.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.stdin, sys.stdout))
--- /dev/null
+++ b/petrelway/interface.py
@@ -0,0 +1,169 @@
+"""The host's side of the decision module: plain types and names, no policy.
+
+Times are milliseconds with fractions. Triggers, executors and functions are small whole
+numbers that the host hands out and takes back when the module releases them.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+
+class Effect(Enum):
+    """What running a trigger twice would do."""
+
+    HARMLESS = "harmless"
+    STAMPED = "stamped"
+    ONE_SHOT = "one-shot"
+
+
+class Scope(Enum):
+    """Which executors drop the repeats of a stamped trigger."""
+
+    ALL = "all"
+    HALL = "hall"
+    CELL = "cell"
+
+
+class Stage(Enum):
+    """What the list says of an executor."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Outcome(IntEnum):
+    """How a transmission, an order to load or a probe ended."""
+
+    FULFILLED = 0
+    ERROR = 1
+    FULL = 2
+    TIMEOUT = 3
+    UNREACHABLE = 4
+    RESET = 5
+    WITHDRAWN = 6
+    UNSENT = 7
+    MISS = 8
+
+
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.MISS))
+
+
+class Warmth(IntEnum):
+    """What an answer told of the copy it met."""
+
+    UNTOLD = 0
+    FOUND = 1
+    BEGAN = 2
+    AWAITED = 3
+    LOAD_FAILED = 4
+
+
+class Verb(Enum):
+    """What the host is asked to do."""
+
+    SEND = "send"
+    WITHDRAW = "withdraw"
+    NACK = "nack"
+    BREAK_OFF = "break off"
+    ORDER = "order to load"
+    UNLOAD = "unload"
+    PROBE = "probe"
+    TELL = "tell the peers"
+    WAKE = "wake"
+
+
+class Decision(NamedTuple):
+    """One thing to do; the fields that the verb does not need stay at their defaults.
+
+    `number` is the transmission to withdraw or the copies ordered; `ms` the retry time of a
+    nack, the time-out of a send (0: none) or the clock time of a wake.
+    """
+
+    verb: Verb
+    trigger: int = -1
+    executor: int = -1
+    function: int = -1
+    number: int = 0
+    ms: float = 0.0
+    payload: bytes = b""
+
+
+class Tariff(NamedTuple):
+    effect: Effect
+    scope: Scope
+    window_ms: float
+    quoted_ms: float
+    outer_ms: float
+    payoff: float
+    late_share: float
+
+
+class Customer(NamedTuple):
+    portion: float
+    rate: float  # triggers a second within the share, over all front ends; 0: untold
+
+
+class Listing(NamedTuple):
+    """One line of the list of executors; `stable` is the same at every front end."""
+
+    executor: int
+    stable: str
+    hall: int
+    machine: int
+    cell: int
+    stage: Stage
+    weight: float
+    started_ms: float  # 0: long ago
+
+
+class Place(NamedTuple):
+    """Where this front end stands among its peers."""
+
+    number: int
+    peers: int
+    hall: int
+
+
+class Permits(NamedTuple):
+    """What the deployment lets a front end do."""
+
+    transmissions: int
+    second_copies: bool
+    withdraw: bool
+    probes: bool
+    tell: bool
+    longest_retry_ms: float  # 0: no retry time may be given
+
+
+class Keeping(NamedTuple):
+    """How executors keep and load functions."""
+
+    answers_miss: bool
+    orders: bool
+    least_keep_ms: float
+    order_timeout_ms: float
+    idle_price: float
+
+
+class ColdRule(NamedTuple):
+    multiple: float
+    span_ms: float
+    start_share: float
+    warm_ms: float
+
+
+class LoadRation(NamedTuple):
+    window_ms: float  # 0: no ration
+    free: float
+    share: float
+
+
+class Released(NamedTuple):
+    """Indices that the module has forgotten for good; the host may use them anew."""
+
+    triggers: list[int]
+    executors: list[int]
+    functions: list[int]
