Limit own triggers in flight by seen slowness; pass over crowded executors

Kept: a crowded skilled executor counts as passed over, one overflow load a function at a time, triggers that wait for a load are not counted. May harm where one function alone needs many executors at once.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -58,8 +58,15 @@
 COLD_MARGIN = 0.6  # share of what rule 4 lets a front end send, for bursts and chance
 RATE_SPAN_MS = 10000.0  # span over which fulfilled triggers are averaged for rule 4
 RATION_EDGE_MS = 20.0  # both edges of the ration's window are read to our disadvantage
+DEMAND_SPAN_MS = 3000.0  # span over which a customer's rate is averaged
 ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
 ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
+LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
+LIMIT_LEAST = 2.0  # never less, or it would not be seen to recover
+CROWDED = 0.7  # answers slower than this share of the quoted time: the executor has too much in flight
+LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
+LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
+OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
 
@@ -67,14 +74,14 @@
 class Transmission:
     """One transmission that is out."""
 
-    __slots__ = ("number", "executor", "sent_ms", "due_ms", "skilled", "overdue", "withdrawn")
+    __slots__ = ("number", "executor", "sent_ms", "due_ms", "busy", "overdue", "withdrawn")
 
-    def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float, skilled: bool) -> None:
+    def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float) -> None:
         self.number = number
         self.executor = executor
         self.sent_ms = sent_ms
         self.due_ms = due_ms
-        self.skilled = skilled
+        self.busy = True  # not known to wait for a load
         self.overdue = False
         self.withdrawn = False
 
@@ -119,6 +126,7 @@
         self.listing = listing
         self.told_ms = now  # when the present stage was first told
         self.out: dict[tuple[int, int], Transmission] = {}
+        self.busy = 0  # those of them that do not wait for a load
         self.restart(listing)
 
     def restart(self, listing: Listing) -> None:
@@ -128,6 +136,7 @@
         self.pace = 0.0  # 0: unheard
         self.others, self.report_ms, self.loads = 0.0, -math.inf, 0.0
         self.errors = 0.0
+        self.limit, self.cut_ms = LIMIT_START, -math.inf
         self.heard_ms = -math.inf
         self.overdue = 0  # transmissions found overdue with nothing heard since they were sent
         self.full_until = self.trial_at = -math.inf
@@ -262,6 +271,8 @@
                  permits: Permits, keeping: Keeping, cold: ColdRule, ration: LoadRation) -> None:
         self.chance = random.Random(seed)
         self.place = place
+        self.customers = customers
+        self.demand: dict[int, list[float]] = {}  # customer -> decayed count, time
         self.tariffs = tariffs
         self.permits = permits
         self.keeping = keeping
@@ -276,7 +287,7 @@
         self.wake_ms = math.inf
         self.wanted: deque[tuple[Executor, Function]] = deque()
         self.seconds = SECOND_SAVED
-        self.mean_ms = UNHEARD_SIZE_MS
+        self.mean_ms = self.mean_size = UNHEARD_SIZE_MS
         self.load_mean_ms = UNHEARD_LOAD_MS
         self.median_pace = 1.0
         self.free = Released([], [], [])
@@ -316,8 +327,11 @@
         f = self.functions[function]
         f.used_ms = now
         size = work_ms or f.mean_ms or self.mean_ms
+        self.mean_size += 0.02 * (size - self.mean_size)
         t = self.triggers[trigger] = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms)
         self.gate.taken.append(now)
+        seen = self.demand.setdefault(customer, [0.0, now])
+        seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + 1.0, now
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
@@ -330,6 +344,7 @@
             return
         e = sent.executor
         e.out.pop((trigger, number), None)
+        e.busy -= sent.busy
         f = t.function
         left = e.lanes_used.get(f.index, 0) - 1
         if left > 0:
@@ -355,6 +370,8 @@
             e.errors *= 1.0 - ERROR_GAIN
             skill = e.resume.setdefault(f.index, Skill(now))
             skill.seen_ms = now
+            if not self.keeping.answers_miss:
+                e.orders.pop(f.index, None)
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
                 self._paced(e, t, took_ms, now)
             elif warmth is Warmth.BEGAN:
@@ -365,6 +382,7 @@
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
             e.full_until = now + FULL_REST_MS
+            self._cut(e, now)
         elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
         elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
@@ -379,6 +397,10 @@
             e.pace += gain * (pace - e.pace)
         else:
             e.pace = min(pace, self.median_pace * PACE_CLIP)
+        if e.pace * self.mean_size > CROWDED * t.tariff.quoted_ms:
+            self._cut(e, now)
+        elif e.busy + 1 >= e.limit:
+            e.limit += LIMIT_GROW / e.limit
         took = min(took_ms, PACE_CLIP * (f.mean_ms or self.mean_ms))
         f.mean_ms = f.mean_ms + PACE_GAIN * (took - f.mean_ms) if f.mean_ms else took
         self.mean_ms += 0.02 * (took - self.mean_ms)
@@ -387,6 +409,11 @@
             warm = sum(1 for x in self.ready if x.listing.machine == kind and not self.gate.is_cold(x, now))
             self.usual.fulfilled(kind, warm, now)
 
+    def _cut(self, e: Executor, now: float) -> None:
+        """Danger: in an overload all that is sent is answered late; less in flight, and in time, is worth more."""
+        if now > e.cut_ms + self.mean_ms:
+            e.limit, e.cut_ms = max(LIMIT_LEAST, LIMIT_CUT * min(e.limit, e.busy + 1.0)), now
+
     def _load_seen(self, f: Function, took_ms: float) -> None:
         if took_ms > 0.0:
             self.load_mean_ms += 0.1 * (min(took_ms, 5 * self.load_mean_ms) - self.load_mean_ms)
@@ -498,6 +525,8 @@
             return self._give_up(t, now)
         able = self._able(t, now)
         e = self.choose(f, able, now) if able else None
+        if e is None and self._hopeless(t, now):
+            return self._give_up(t, now)
         if e is None or self._awaited(e, f, now):
             if e is None and t.ran and not any(self.gate.send(t, x, len(self.ready), now) for x in self.ready):
                 if t.tariff.effect is not Effect.HARMLESS:  # nothing may be sent again: say so now
@@ -507,12 +536,27 @@
             return None
         return self._send(t, e, now)
 
+    def _hopeless(self, t: Trigger, now: float) -> bool:
+        """Every executor has its fill: what is beyond a customer's share goes first, then what would be late."""
+        if not self.ready:
+            return False
+        if t.customer < len(self.customers) and t.customer in self.demand:
+            rate = self.demand[t.customer][0] / DEMAND_SPAN_MS * 1000.0 * self.place.peers
+            told = self.customers[t.customer].rate
+            if told and rate > OVER_SHARE * told:
+                return True
+        return now + t.size * self.median_pace > t.quoted_by
+
     def _awaited(self, e: Executor, f: Function, now: float) -> bool:
         """Where executors answer miss, a trigger waits for the order rather than miss again."""
         if not self.keeping.answers_miss or f.index in e.resume:
             return False
         return any(self._under_way(x, f, now) for x in self.ready)
 
+    def _loading(self, f: Function, now: float) -> bool:
+        """Danger: in an overload every function overflows at once, and the loads make all slower."""
+        return any(self._under_way(e, f, now) for e in self.ready)
+
     def _under_way(self, e: Executor, f: Function, now: float) -> bool:
         at = e.orders.get(f.index)
         return at is not None and now < at + ORDER_LATE * (f.load_ms or self.load_mean_ms)
@@ -523,7 +567,7 @@
         allowed = [e for e in self.ready if e not in out and self.gate.send(t, e, len(self.ready), now)]
         untried = [e for e in allowed if e.listing.executor not in t.tried]
         allowed = untried or allowed
-        well = [e for e in allowed if not self.ailing(e, now) and now >= e.full_until]
+        well = [e for e in allowed if not self.ailing(e, now)]
         if t.tariff.effect is Effect.HARMLESS and not t.sent:
             for e in allowed:
                 if now >= e.trial_at and self.ailing(e, now) and well:
@@ -536,27 +580,30 @@
             return True
         return e.overdue >= AILING_OVERDUE
 
-    def choose(self, f: Function, able: list[Executor], now: float) -> Executor:
+    def choose(self, f: Function, able: list[Executor], now: float) -> Executor | None:
         """The design page: the skilled executor with the least weighted backlog; one is passed over only
         with no free lane by our count and past variance x mean; else overflow to an unskilled one."""
         load = {e: self.backlog(e, now) for e in self.ready}
         weight = {e: (load[e], self.chance.random()) for e in able}
         mean = sum(load.values()) / len(load)
-        limit = VARIANCE * max(mean, self.mean_ms * self.median_pace)
-        skilled = [e for e in able if f.index in e.resume]
+        limit = VARIANCE * max(mean, self.mean_size * self.median_pace)
+        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit]
+        skilled = [e for e in open_to if f.index in e.resume]
         kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
         if kept:
             return min(kept, key=weight.__getitem__)
-        unskilled = [e for e in able if f.index not in e.resume]
-        calm = [e for e in unskilled if weight[e][0] <= limit]
-        if calm:  # the page leaves the executor of a new load open: the shared rank picks it
-            return max(calm, key=lambda e: f.rank(e.listing.stable))
-        return min(unskilled or skilled, key=weight.__getitem__)
+        if not any(f.index in e.resume for e in able) or not self._loading(f, now):
+            unskilled = [e for e in open_to if f.index not in e.resume]
+            calm = [e for e in unskilled if weight[e][0] <= limit]
+            if calm:  # the page leaves the executor of a new load open: the shared rank picks it
+                return max(calm, key=lambda e: f.rank(e.listing.stable))
+            skilled += unskilled
+        return min(skilled, key=weight.__getitem__, default=None)
 
     def backlog(self, e: Executor, now: float) -> float:
         """In flight times the average time of a trigger, in ms; others' triggers as reported."""
         fresh = max(0.0, 1.0 - (now - e.report_ms) / REPORT_LIFE_MS)
-        return (len(e.out) + e.others * fresh) * self._pace(e) * self.mean_ms
+        return (len(e.out) + e.others * fresh) * self._pace(e) * self.mean_size
 
     def _pace(self, e: Executor) -> float:
         return e.pace or self.median_pace
@@ -573,12 +620,15 @@
             e.trial_at = now + TRIAL_MS
         expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
         due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
-        sent = Transmission(t.sent, e, now, due_ms, skilled)
+        sent = Transmission(t.sent, e, now, due_ms)
         t.out[t.sent] = e.out[(t.index, t.sent)] = sent
         e.lanes_used[f.index] = e.lanes_used.get(f.index, 0) + 1
         t.sent += 1
         if not self.keeping.answers_miss and not skilled:
             e.resume[f.index] = Skill(now)  # it takes the trigger and gains the skill
+            e.orders[f.index] = now
+        sent.busy = f.index not in e.orders
+        e.busy += sent.busy
         if self.gate.is_cold(e, now):
             e.cold_sends.append(now)
         t.function.held.pop(t.index, None)
@@ -598,10 +648,11 @@
         able = self._able(t, now)
         if not self.ailing(latest.executor, now):  # only a warm copy is worth it
             able = [e for e in able if t.function.index in e.resume]
-        if not able:
+        e = self.choose(t.function, able, now) if able else None
+        if e is None:
             return None
         self.seconds -= 1.0
-        return self._send(t, self.choose(t.function, able, now), now)
+        return self._send(t, e, now)
 
     def _order(self, e: Executor, f: Function, copies: int, now: float) -> Decision | None:
         if self._under_way(e, f, now) or len(e.orders) >= ORDERS_PER_EXECUTOR or not self.gate.order(e, now):
