No overflow while half of the executors are crowded

Cause: under overload each function overflowed at once and the loads slowed all. May harm a function that turns hot while the fleet is crowded by others: it stays where it is.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -554,7 +554,6 @@
         return any(self._under_way(x, f, now) for x in self.ready)
 
     def _loading(self, f: Function, now: float) -> bool:
-        """Danger: in an overload every function overflows at once, and the loads make all slower."""
         return any(self._under_way(e, f, now) for e in self.ready)
 
     def _under_way(self, e: Executor, f: Function, now: float) -> bool:
@@ -592,7 +591,9 @@
         kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
         if kept:
             return min(kept, key=weight.__getitem__)
-        if not any(f.index in e.resume for e in able) or not self._loading(f, now):
+        known = any(f.index in e.resume for e in able)
+        # danger: in an overload every function would overflow at once, and the loads make all slower
+        if not known or (2 * len(open_to) > len(able) and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
             calm = [e for e in unskilled if weight[e][0] <= limit]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
