--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -16,24 +16,8 @@
 from hashlib import blake2b
 
 from .interface import (
-    NEVER_RAN,
-    ColdRule,
-    Customer,
-    Decision,
-    Effect,
-    Keeping,
-    Listing,
-    LoadRation,
-    Outcome,
-    Permits,
-    Place,
-    Released,
-    Scope,
-    Stage,
-    Tariff,
-    Verb,
-    Warmth,
-)
+    NEVER_RAN, ColdRule, Customer, Decision, Effect, Keeping, Listing, LoadRation, Outcome, Permits, Place,
+    Released, Scope, Stage, Tariff, Verb, Warmth)
 
 # Tuned values. Times in ms.
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
@@ -74,8 +58,6 @@
 class Transmission:
     """One transmission that is out."""
 
-    __slots__ = ("number", "executor", "sent_ms", "due_ms", "busy", "overdue", "withdrawn")
-
     def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float) -> None:
         self.number = number
         self.executor = executor
@@ -89,9 +71,6 @@
 class Trigger:
     """One trigger, from the taking to the end of its last transmission."""
 
-    __slots__ = ("index", "tariff", "customer", "function", "size", "taken_ms", "answer_by", "quoted_by", "out",
-                 "sent", "ran", "answered", "tried", "gone")
-
     def __init__(self, index: int, tariff: Tariff, customer: int, function: Function, size: float,
                  now: float, remaining_ms: float) -> None:
         self.index = index
@@ -112,8 +91,6 @@
 class Skill:
     """A line of an executor's resume."""
 
-    __slots__ = ("seen_ms", "copies")
-
     def __init__(self, seen_ms: float, copies: int = 1) -> None:
         self.seen_ms = seen_ms
         self.copies = copies
