--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -34,8 +34,12 @@
 AILING_ERRORS = 0.3  # share of recent answers that are errors
 AILING_PACE = 3.0  # times the median pace
 ERROR_GAIN = 0.2  # weight of one answer in an executor's share of errors
-TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often
-FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time
+WELL_ERRORS = 0.12  # and below this share it is well again
+TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often; twice as rarely after each failure ...
+TRIAL_MOST_MS = 8000.0  # ... but at least each so often
+FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time, twice as long each time
+LOAD_SHARE = 0.05  # overflow loads earned per trigger taken: spreading cannot jam store and memory
+LOAD_SAVED = 6.0  # most of them saved up
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
 WINDOW_EARLY_MS = 60.0  # a stamped repeat must arrive this long before its mark is forgotten
@@ -115,6 +119,9 @@
         self.errors = 0.0
         self.limit, self.cut_ms = LIMIT_START, -math.inf
         self.heard_ms = -math.inf
+        self.ill = False  # its share of errors went past AILING_ERRORS
+        self.trial_gap = TRIAL_MS
+        self.full_rest = FULL_REST_MS
         self.overdue = 0  # transmissions found overdue with nothing heard since they were sent
         self.full_until = self.trial_at = -math.inf
         self.cold_sends: deque[float] = deque()
@@ -264,6 +271,7 @@
         self.wake_ms = math.inf
         self.wanted: deque[tuple[Executor, Function]] = deque()
         self.seconds = SECOND_SAVED
+        self.spare_loads = LOAD_SAVED
         self.mean_ms = self.mean_size = UNHEARD_SIZE_MS
         self.load_mean_ms = UNHEARD_LOAD_MS
         self.median_pace = 1.0
@@ -310,6 +318,7 @@
         seen = self.demand.setdefault(customer, [0.0, now])
         seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + 1.0, now
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
+        self.spare_loads = min(LOAD_SAVED, self.spare_loads + LOAD_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
 
@@ -322,6 +331,8 @@
         e = sent.executor
         e.out.pop((trigger, number), None)
         e.busy -= sent.busy
+        if not self.keeping.answers_miss:
+            e.orders.pop(t.function.index, None)
         f = t.function
         left = e.lanes_used.get(f.index, 0) - 1
         if left > 0:
@@ -345,10 +356,9 @@
             e.heard_ms, e.overdue = now, 0
         if outcome is Outcome.FULFILLED:
             e.errors *= 1.0 - ERROR_GAIN
+            e.trial_gap, e.full_rest = TRIAL_MS, FULL_REST_MS
             skill = e.resume.setdefault(f.index, Skill(now))
             skill.seen_ms = now
-            if not self.keeping.answers_miss:
-                e.orders.pop(f.index, None)
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
                 self._paced(e, t, took_ms, now)
             elif warmth is Warmth.BEGAN:
@@ -358,13 +368,16 @@
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
-            e.full_until = now + FULL_REST_MS
+            e.full_until = now + e.full_rest
+            e.full_rest = min(2 * e.full_rest, TRIAL_MOST_MS / 4)
             self._cut(e, now)
         elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
         elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
             e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
 
+        e.ill = e.errors > (WELL_ERRORS if e.ill else AILING_ERRORS)
+
     def _paced(self, e: Executor, t: Trigger, took_ms: float, now: float) -> None:
         f = t.function
         pace = took_ms / max(1.0, t.size)
@@ -552,7 +565,7 @@
 
     def ailing(self, e: Executor, now: float) -> bool:
         """Told by symptoms: silence, errors, or answers far slower than the fleet's."""
-        if e.errors > AILING_ERRORS or e.pace > AILING_PACE * self.median_pace:
+        if e.ill or e.pace > AILING_PACE * self.median_pace:
             return True
         return e.overdue >= AILING_OVERDUE
 
@@ -570,12 +583,13 @@
             return min(kept, key=weight.__getitem__)
         known = any(f.index in e.resume for e in able)
         # danger: in an overload every function would overflow at once, and the loads make all slower
-        if not known or (2 * len(open_to) > len(able) and not self._loading(f, now)):
+        if not known or (self.spare_loads >= 1.0 and 2 * len(open_to) > len(able) and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
-            calm = [e for e in unskilled if weight[e][0] <= limit]
+            calm = [e for e in unskilled if weight[e][0] <= limit and len(e.orders) < ORDERS_PER_EXECUTOR]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
                 return max(calm, key=lambda e: f.rank(e.listing.stable))
-            skilled += unskilled
+            if not known:
+                skilled = unskilled
         return min(skilled, key=weight.__getitem__, default=None)
 
     def backlog(self, e: Executor, now: float) -> float:
@@ -594,8 +608,10 @@
         if not self.gate.send(t, e, len(self.ready), now):
             return None
         skilled = f.index in e.resume
+        if not skilled and any(f.index in x.resume for x in self.ready):
+            self.spare_loads -= 1.0
         if self.ailing(e, now):
-            e.trial_at = now + TRIAL_MS
+            e.trial_at, e.trial_gap = now + e.trial_gap, min(2 * e.trial_gap, TRIAL_MOST_MS)
         expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
         due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
         sent = Transmission(t.sent, e, now, due_ms)
