--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -38,7 +38,7 @@
 TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often; twice as rarely after each failure ...
 TRIAL_MOST_MS = 8000.0  # ... but at least each so often
 FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time, twice as long each time
-LOAD_SHARE = 0.05  # overflow loads earned per trigger taken: spreading cannot jam store and memory
+LOAD_SHARE = 0.1  # overflow loads earned per trigger taken: spreading cannot jam store and memory
 LOAD_SAVED = 6.0  # most of them saved up
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
@@ -51,8 +51,9 @@
 ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
 LIMIT_LEAST = 2.0  # never less, or it would not be seen to recover
-CROWDED = 0.7  # answers slower than this share of the quoted time: the executor has too much in flight
+CROWDED = 0.5  # answers slower than this share of the quoted time: the executor has too much in flight
 LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
+HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
@@ -535,7 +536,7 @@
             told = self.customers[t.customer].rate
             if told and rate > OVER_SHARE * told:
                 return True
-        return now + t.size * self.median_pace > t.quoted_by
+        return now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
 
     def _awaited(self, e: Executor, f: Function, now: float) -> bool:
         """Where executors answer miss, a trigger waits for the order rather than miss again."""
@@ -608,7 +609,7 @@
         if not self.gate.send(t, e, len(self.ready), now):
             return None
         skilled = f.index in e.resume
-        if not skilled and any(f.index in x.resume for x in self.ready):
+        if not skilled and any(f.index in x.resume and not self.ailing(x, now) for x in self.ready):
             self.spare_loads -= 1.0
         if self.ailing(e, now):
             e.trial_at, e.trial_gap = now + e.trial_gap, min(2 * e.trial_gap, TRIAL_MOST_MS)
@@ -635,7 +636,12 @@
         for sent in t.out.values():
             if now >= sent.due_ms and not sent.overdue:
                 sent.overdue = True
-                sent.executor.overdue += sent.sent_ms > sent.executor.heard_ms
+                if sent.sent_ms > sent.executor.heard_ms:
+                    sent.executor.overdue += 1
+                    if sent.executor.overdue == AILING_OVERDUE:  # silent: look at all that it holds at once
+                        self.attention.extend(index for index, _ in sent.executor.out)
+            silent = sent.executor.overdue >= AILING_OVERDUE and sent.sent_ms > sent.executor.heard_ms
+            sent.overdue |= silent and now > sent.sent_ms + OVERDUE_SLACK_MS
             latest = sent
         if latest is None or len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
             return None
