--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -38,8 +38,6 @@
 TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often; twice as rarely after each failure ...
 TRIAL_MOST_MS = 8000.0  # ... but at least each so often
 FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time, twice as long each time
-LOAD_SHARE = 0.1  # overflow loads earned per trigger taken: spreading cannot jam store and memory
-LOAD_SAVED = 6.0  # most of them saved up
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
 WINDOW_EARLY_MS = 60.0  # a stamped repeat must arrive this long before its mark is forgotten
@@ -272,7 +270,6 @@
         self.wake_ms = math.inf
         self.wanted: deque[tuple[Executor, Function]] = deque()
         self.seconds = SECOND_SAVED
-        self.spare_loads = LOAD_SAVED
         self.mean_ms = self.mean_size = UNHEARD_SIZE_MS
         self.load_mean_ms = UNHEARD_LOAD_MS
         self.median_pace = 1.0
@@ -319,7 +316,6 @@
         seen = self.demand.setdefault(customer, [0.0, now])
         seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + 1.0, now
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
-        self.spare_loads = min(LOAD_SAVED, self.spare_loads + LOAD_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
 
@@ -584,7 +580,7 @@
             return min(kept, key=weight.__getitem__)
         known = any(f.index in e.resume for e in able)
         # danger: in an overload every function would overflow at once, and the loads make all slower
-        if not known or (self.spare_loads >= 1.0 and 2 * len(open_to) > len(able) and not self._loading(f, now)):
+        if not known or (2 * len(open_to) > len(able) and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
             calm = [e for e in unskilled if weight[e][0] <= limit and len(e.orders) < ORDERS_PER_EXECUTOR]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
@@ -609,8 +605,6 @@
         if not self.gate.send(t, e, len(self.ready), now):
             return None
         skilled = f.index in e.resume
-        if not skilled and any(f.index in x.resume and not self.ailing(x, now) for x in self.ready):
-            self.spare_loads -= 1.0
         if self.ailing(e, now):
             e.trial_at, e.trial_gap = now + e.trial_gap, min(2 * e.trial_gap, TRIAL_MOST_MS)
         expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
