--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -35,8 +35,7 @@
 AILING_PACE = 3.0  # times the median pace
 ERROR_GAIN = 0.2  # weight of one answer in an executor's share of errors
 WELL_ERRORS = 0.12  # and below this share it is well again
-TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often; twice as rarely after each failure ...
-TRIAL_MOST_MS = 8000.0  # ... but at least each so often
+TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often
 FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time, twice as long each time
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
@@ -119,9 +118,8 @@
         self.limit, self.cut_ms = LIMIT_START, -math.inf
         self.heard_ms = -math.inf
         self.ill = False  # its share of errors went past AILING_ERRORS
-        self.trial_gap = TRIAL_MS
         self.full_rest = FULL_REST_MS
-        self.overdue = 0  # transmissions found overdue with nothing heard since they were sent
+        self.overdue: set[int] = set()  # functions found overdue with nothing heard since they were sent
         self.full_until = self.trial_at = -math.inf
         self.cold_sends: deque[float] = deque()
         self.orders: dict[int, float] = {}  # function -> when ordered
@@ -350,10 +348,11 @@
                warmth: Warmth) -> None:
         e, f = sent.executor, t.function
         if outcome in (Outcome.FULFILLED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            e.heard_ms, e.overdue = now, 0
+            e.heard_ms = now
+            e.overdue.clear()
         if outcome is Outcome.FULFILLED:
             e.errors *= 1.0 - ERROR_GAIN
-            e.trial_gap, e.full_rest = TRIAL_MS, FULL_REST_MS
+            e.full_rest = FULL_REST_MS
             skill = e.resume.setdefault(f.index, Skill(now))
             skill.seen_ms = now
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
@@ -366,7 +365,7 @@
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
             e.full_until = now + e.full_rest
-            e.full_rest = min(2 * e.full_rest, TRIAL_MOST_MS / 4)
+            e.full_rest = min(2 * e.full_rest, TRIAL_MS)
             self._cut(e, now)
         elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
@@ -564,7 +563,7 @@
         """Told by symptoms: silence, errors, or answers far slower than the fleet's."""
         if e.ill or e.pace > AILING_PACE * self.median_pace:
             return True
-        return e.overdue >= AILING_OVERDUE
+        return len(e.overdue) >= AILING_OVERDUE
 
     def choose(self, f: Function, able: list[Executor], now: float) -> Executor | None:
         """The design page: the skilled executor with the least weighted backlog; one is passed over only
@@ -582,7 +581,7 @@
         # danger: in an overload every function would overflow at once, and the loads make all slower
         if not known or (2 * len(open_to) > len(able) and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
-            calm = [e for e in unskilled if weight[e][0] <= limit and len(e.orders) < ORDERS_PER_EXECUTOR]
+            calm = [e for e in unskilled if weight[e][0] <= limit]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
                 return max(calm, key=lambda e: f.rank(e.listing.stable))
             if not known:
@@ -606,7 +605,7 @@
             return None
         skilled = f.index in e.resume
         if self.ailing(e, now):
-            e.trial_at, e.trial_gap = now + e.trial_gap, min(2 * e.trial_gap, TRIAL_MOST_MS)
+            e.trial_at = now + TRIAL_MS
         expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
         due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
         sent = Transmission(t.sent, e, now, due_ms)
@@ -631,10 +630,10 @@
             if now >= sent.due_ms and not sent.overdue:
                 sent.overdue = True
                 if sent.sent_ms > sent.executor.heard_ms:
-                    sent.executor.overdue += 1
-                    if sent.executor.overdue == AILING_OVERDUE:  # silent: look at all that it holds at once
+                    sent.executor.overdue.add(t.function.index)
+                    if len(sent.executor.overdue) == AILING_OVERDUE:  # silent: look at all it holds at once
                         self.attention.extend(index for index, _ in sent.executor.out)
-            silent = sent.executor.overdue >= AILING_OVERDUE and sent.sent_ms > sent.executor.heard_ms
+            silent = len(sent.executor.overdue) >= AILING_OVERDUE and sent.sent_ms > sent.executor.heard_ms
             sent.overdue |= silent and now > sent.sent_ms + OVERDUE_SLACK_MS
             latest = sent
         if latest is None or len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
