--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,65 @@
+"""A small host round a FrontEnd: short calls, decisions as plain lists."""
+
+from petrelway.choice import FrontEnd
+from petrelway.interface import (
+    ColdRule, Customer, Decision, Effect, Keeping, Listing, LoadRation, Outcome, Permits, Place, Scope, Stage,
+    Tariff, Verb, Warmth)
+
+START = 100_000.0
+
+
+class Host:
+    def __init__(self, executors=3, effect=Effect.HARMLESS, scope=Scope.ALL, misses=False, seconds=True, sends=5,
+                 ration=(0.0, 0.0, 0.0), rate=300.0, peers=1, started=None):
+        self.now = START
+        self.fe = FrontEnd(
+            START, 7, Place(0, peers, 0), [Tariff(effect, scope, 4000.0, 1000.0, 4000.0, 1.0, 0.1)],
+            [Customer(0.6, rate), Customer(0.4, rate)], Permits(sends, seconds, True, False, False, 500.0),
+            Keeping(misses, True, 8000.0, 10000.0, 0.1), ColdRule(4.0, 1500.0, 0.2, 15000.0), LoadRation(*ration))
+        self.serial = 0
+        if executors:
+            self.lists({e: Stage.READY for e in range(executors)}, started=started or {})
+
+    def lists(self, stages, complete=True, started=None, halls=2):
+        lines = [Listing(e, f"e{e}", e % halls, 0, e // 2, s, 1.0, (started or {}).get(e, 0.0))
+                 for e, s in stages.items()]
+        self.fe.executors_listed(self.now, lines, complete)
+
+    def take(self, function=0, remaining=4000.0, work=100.0, customer=0):
+        if function not in self.fe.functions:
+            self.fe.function_named(self.now, function, f"f{function}", 100.0, 2, 500.0)
+        self.serial += 1
+        self.fe.trigger_taken(self.now, self.serial, 0, customer, function, remaining, work)
+        return self.serial
+
+    def end(self, trigger, outcome, number=0, executor=0, took=100.0, warmth=Warmth.FOUND, finished=None):
+        done = outcome is Outcome.FULFILLED if finished is None else finished
+        self.fe.transmission_ended(self.now, trigger, number, executor, outcome, took, done, warmth, 0, {})
+
+    def pull(self, forward=0.0) -> list[Decision]:
+        """All decisions now, or up to a later time as the wakes fall due."""
+        until, found = self.now + forward, []
+        while True:
+            while (d := self.fe.decide(self.now)) is not None:
+                if d.verb is not Verb.WAKE:
+                    found.append(d)
+            if self.fe.wake_ms > until:
+                self.now = until
+                return found
+            self.now = max(self.now, self.fe.wake_ms)
+            self.fe.time_passed(self.now)
+
+    def teach(self, executor, function=0, times=1):
+        """Fulfilled answers from one executor, whatever the choice would have been."""
+        kept = self.fe.ready
+        self.fe.ready = [self.fe.executors[executor]]
+        for _ in range(times):
+            t = self.take(function)
+            assert [d.executor for d in self.pull() if d.verb is Verb.SEND] == [executor]
+            self.end(t, Outcome.FULFILLED, executor=executor)
+            self.pull()
+        self.fe.ready = kept
+
+
+def verbs(decisions) -> list[str]:
+    return [d.verb.name for d in decisions]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,123 @@
+"""One table for each of the five rules."""
+
+from helpers import Host, verbs
+
+from petrelway.interface import Effect, Outcome, Scope, Stage, Verb
+
+H, S, O = Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT
+ALL, HALL, CELL = Scope.ALL, Scope.HALL, Scope.CELL
+FULFILLED, ERROR, FULL, TIMEOUT = Outcome.FULFILLED, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT
+UNREACHABLE, RESET, WITHDRAWN, UNSENT = Outcome.UNREACHABLE, Outcome.RESET, Outcome.WITHDRAWN, Outcome.UNSENT
+
+
+def test_one_final_answer():
+    # executors, what ends the transmission (None: nothing), finished, decisions up to the end of the client's time
+    table = [
+        (2, None, None, ["SEND", "NACK", "WITHDRAW"]),  # no answer: nacked before the client's time is up
+        (2, FULFILLED, True, ["SEND"]),
+        (0, None, None, ["NACK"]),  # an empty list
+    ]
+    for executors, outcome, finished, expected in table:
+        host = Host(executors, seconds=False)
+        t = host.take(remaining=900.0)
+        found = host.pull()
+        if outcome is not None:
+            host.end(t, outcome, executor=found[0].executor, finished=finished)
+        found += host.pull(2000.0)
+        assert verbs(found) == expected, (executors, outcome)
+        if outcome is None and executors:  # the late outcome and the client's leaving change nothing
+            host.end(t, FULFILLED)
+            host.fe.client_gone(host.now, t)
+            assert host.pull(5000.0) == []
+        assert host.fe.triggers == {}
+    host = Host(0)
+    host.take(remaining=500.0)
+    host.pull(480.0)
+    assert host.now < 100_500.0 and len(host.fe.triggers) == 1  # held, not yet due
+    assert verbs(host.pull(16.0)) == ["NACK"]
+
+
+def test_no_effect_twice():
+    # effect, scope, outcome of the first, waited ms, does a repeat go out, hall and cell kept, final answer else
+    table = [
+        (H, ALL, ERROR, 0.0, "SEND", None),
+        (H, ALL, TIMEOUT, 3000.0, "SEND", None),
+        (S, ALL, ERROR, 0.0, "SEND", None),
+        (S, ALL, RESET, 3960.0, "NACK", None),  # the mark is nearly forgotten
+        (S, HALL, ERROR, 0.0, "SEND", "hall"),
+        (S, HALL, RESET, 3960.0, "BREAK_OFF", None),
+        (S, CELL, ERROR, 0.0, "SEND", "cell"),
+        (S, CELL, WITHDRAWN, 3960.0, "BREAK_OFF", None),
+        (O, ALL, ERROR, 0.0, "BREAK_OFF", None),
+        (O, ALL, TIMEOUT, 0.0, "BREAK_OFF", None),
+        (O, ALL, WITHDRAWN, 0.0, "BREAK_OFF", None),
+        (O, ALL, UNREACHABLE, 0.0, "SEND", None),
+        (O, ALL, FULL, 0.0, "SEND", None),
+        (O, ALL, UNSENT, 0.0, "SEND", None),
+        (S, HALL, FULL, 3960.0, "SEND", None),  # it never ran: anywhere, any time
+    ]
+    for effect, scope, outcome, waited, expected, group in table:
+        host = Host(8, effect, scope, seconds=False)
+        t = host.take(remaining=9000.0)
+        first = host.pull()[0]
+        host.pull(waited)
+        host.end(t, outcome, executor=first.executor)
+        second = host.pull(50.0)
+        assert verbs(second)[:1] == [expected], (effect, scope, outcome, waited, second)
+        at, then = (host.fe.executors[d.executor].listing for d in (first, second[0])) if group else (0, 0)
+        if group:
+            assert getattr(at, group) == getattr(then, group)
+    host = Host(4, O, seconds=True)  # one-shot: no second copy beside the first, however late
+    host.take(remaining=3900.0)
+    assert verbs(host.pull(3899.0)) == ["SEND", "BREAK_OFF", "WITHDRAW"]
+
+
+def test_transmission_limit():
+    for sends in (1, 3):
+        host = Host(4, sends=sends)
+        t, found = host.take(), []
+        for number in range(sends):
+            found += host.pull(200.0)
+            host.end(t, Outcome.RESET, number=number, executor=found[-1].executor)
+        assert verbs(found + host.pull()) == ["SEND"] * sends + ["NACK"]
+
+
+def test_drains_are_kept():
+    for stage, complete in ((Stage.DRAINING, False), (Stage.GONE, False), (None, True)):
+        for misses in (False, True):
+            host = Host(2, misses=misses)
+            host.teach(0)
+            stages = {1: Stage.READY} | ({0: stage} if stage else {})
+            host.lists(stages, complete)
+            if misses:  # an order that was wanted before the drain is not given after it
+                host.fe.wanted.append((host.fe.executors[0], host.fe.functions[0]))
+            for _ in range(5):
+                host.take()
+            found = host.pull(400.0)
+            assert found and all(d.executor == 1 for d in found if d.verb in (Verb.SEND, Verb.ORDER)), stage
+
+
+def test_cold_executor_not_pushed_over():
+    # ms since the start, most sends in one span: 0.6 x 4 x share(age) x usual x span
+    usual = 0.5 * 600.0 / 1000.0 / 2
+    for age, share in ((0.0, 0.2), (7500.0, 0.6), (15000.0, 9.9)):
+        host = Host(2, started={0: 100_000.0 - age, 1: 100_000.0 - age})
+        for function in range(300):
+            host.take(function)
+        sends = [d for d in host.pull() if d.verb is Verb.SEND]
+        for e in (0, 1):
+            assert sum(d.executor == e for d in sends) <= 0.6 * 4.0 * share * usual * 1500.0 + 1
+        assert sends
+
+
+def test_orders_rationed():
+    # free, share, orders expected of 12 functions that all miss
+    for free, share, expected in ((2.0, 0.0, 2), (0.0, 0.5, 6), (4.0, 0.25, 7)):
+        host = Host(12, misses=True, ration=(10000.0, free, share))
+        found, ordered = [], 0
+        for function in range(12):
+            found.append((host.take(function), host.pull()))
+        for t, decisions in found:
+            host.end(t, Outcome.MISS, executor=decisions[0].executor)
+        ordered = sum(d.verb is Verb.ORDER for d in host.pull(300.0))
+        assert ordered == expected, (free, share, ordered)
