--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -52,6 +52,7 @@
 LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
+OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
 OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
@@ -61,13 +62,10 @@
     """One transmission that is out."""
 
     def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float) -> None:
-        self.number = number
-        self.executor = executor
-        self.sent_ms = sent_ms
-        self.due_ms = due_ms
+        self.number, self.executor = number, executor
+        self.sent_ms, self.due_ms = sent_ms, due_ms
         self.busy = True  # not known to wait for a load
-        self.overdue = False
-        self.withdrawn = False
+        self.overdue = self.withdrawn = False
 
 
 class Trigger:
@@ -75,17 +73,13 @@
 
     def __init__(self, index: int, tariff: Tariff, customer: int, function: Function, size: float,
                  now: float, remaining_ms: float) -> None:
-        self.index = index
-        self.tariff = tariff
-        self.customer = customer
-        self.function = function
-        self.size = size
-        self.taken_ms = now
+        self.index, self.tariff, self.customer = index, tariff, customer
+        self.function, self.size = function, size
         self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
         self.quoted_by = now + tariff.quoted_ms
         self.out: dict[int, Transmission] = {}
         self.sent = 0
-        self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of sends that ended and may have run
+        self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
         self.answered = False  # no answer is owed any more
         self.tried: set[int] = set()  # executors that failed it
 
@@ -94,8 +88,7 @@
     """A line of an executor's resume."""
 
     def __init__(self, seen_ms: float, copies: int = 1) -> None:
-        self.seen_ms = seen_ms
-        self.copies = copies
+        self.seen_ms, self.copies = seen_ms, copies
 
 
 class Executor:
@@ -105,16 +98,15 @@
         self.listing = listing
         self.told_ms = now  # when the present stage was first told
         self.out: dict[tuple[int, int], Transmission] = {}
+        self.lanes_used: dict[int, int] = {}  # function -> own transmissions out
         self.busy = 0  # those of them that do not wait for a load
         self.restart(listing)
 
     def restart(self, listing: Listing) -> None:
         """A new process: empty, unheard, and well until it shows otherwise."""
         self.resume: dict[int, Skill] = {}
-        self.lanes_used: dict[int, int] = {}
         self.pace = 0.0  # 0: unheard
-        self.others, self.report_ms, self.loads = 0.0, -math.inf, 0.0
-        self.errors = 0.0
+        self.others, self.report_ms, self.errors = 0.0, -math.inf, 0.0
         self.limit, self.cut_ms = LIMIT_START, -math.inf
         self.heard_ms = -math.inf
         self.ill = False  # its share of errors went past AILING_ERRORS
@@ -128,14 +120,10 @@
 class Function:
     """What is known of one function."""
 
-    def __init__(self, index: int, stable: str, memory_mb: float, lanes: int, load_ms: float) -> None:
-        self.index = index
-        self.stable = stable
-        self.memory_mb = memory_mb
-        self.lanes = max(1, lanes)
-        self.load_ms = load_ms
-        self.mean_ms = 0.0
-        self.used_ms = 0.0
+    def __init__(self, index: int, stable: str, lanes: int, load_ms: float) -> None:
+        self.index, self.stable = index, stable
+        self.lanes, self.load_ms = max(1, lanes), load_ms
+        self.mean_ms = self.used_ms = 0.0
         self.held: dict[int, None] = {}  # triggers that wait for a copy
         self.ranks: dict[str, int] = {}
 
@@ -174,12 +162,8 @@
     """The five rules, at the one place that every transmission, order and final answer passes."""
 
     def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, usual: Usual) -> None:
-        self.permits = permits
-        self.cold = cold
-        self.ration = ration
-        self.usual = usual
-        self.taken: deque[float] = deque()
-        self.ordered: deque[float] = deque()
+        self.permits, self.cold, self.ration, self.usual = permits, cold, ration, usual
+        self.taken, self.ordered = deque[float](), deque[float]()
 
     def send(self, t: Trigger, e: Executor, listed: int, now: float) -> bool:
         if t.answered or now >= t.answer_by or t.sent >= self.permits.transmissions:  # rule 1
@@ -197,11 +181,12 @@
         tariff = t.tariff
         if tariff.effect is not Effect.STAMPED:
             return tariff.effect is Effect.HARMLESS
-        earlier = t.ran + [(x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values()]
-        for hall, cell, sent_ms in earlier:
+        out = [(x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values()]
+        for hall, cell, sent_ms in t.ran + out:
             if now > sent_ms + tariff.window_ms - WINDOW_EARLY_MS:
                 return False
-            if tariff.scope is Scope.HALL and hall != at.hall or tariff.scope is Scope.CELL and cell != at.cell:
+            scope = tariff.scope
+            if (scope is Scope.HALL and hall != at.hall) or (scope is Scope.CELL and cell != at.cell):
                 return False
         return True
 
@@ -224,9 +209,7 @@
         return recent + 1 <= rate * span + 1e-9
 
     def order(self, e: Executor, now: float) -> bool:
-        if e.listing.stage is not Stage.READY:  # rule 3
-            return False
-        return self.orders_left(now) >= 1.0  # rule 5
+        return e.listing.stage is Stage.READY and self.orders_left(now) >= 1.0  # rules 3 and 5
 
     def orders_left(self, now: float) -> float:
         ration = self.ration
@@ -251,12 +234,9 @@
     def __init__(self, now: float, seed: int, place: Place, tariffs: list[Tariff], customers: list[Customer],
                  permits: Permits, keeping: Keeping, cold: ColdRule, ration: LoadRation) -> None:
         self.chance = random.Random(seed)
-        self.place = place
-        self.customers = customers
+        self.place, self.customers = place, customers
         self.demand: dict[int, list[float]] = {}  # customer -> decayed count, time
-        self.tariffs = tariffs
-        self.permits = permits
-        self.keeping = keeping
+        self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
         self.usual = Usual(now, customers, place.peers)
         self.gate = Gate(permits, cold, ration, self.usual)
         self.executors: dict[int, Executor] = {}
@@ -295,12 +275,13 @@
                     e.listing = e.listing._replace(stage=Stage.GONE)
                     e.told_ms = now
         self.ready = [e for e in self.executors.values() if e.listing.stage is Stage.READY]
-        self._look_at_held()
+        for f in self.functions.values():
+            self.attention.extend(f.held)
 
     def function_named(self, now: float, function: int, stable: str, memory_mb: float, lanes: int,
                        load_ms: float) -> None:
         """Once for each index, before the function's first trigger."""
-        f = self.functions[function] = Function(function, stable, memory_mb, lanes, load_ms)
+        f = self.functions[function] = Function(function, stable, lanes, load_ms)
         f.used_ms = now
 
     def trigger_taken(self, now: float, trigger: int, tariff: int, customer: int, function: int,
@@ -309,7 +290,8 @@
         f.used_ms = now
         size = work_ms or f.mean_ms or self.mean_ms
         self.mean_size += 0.02 * (size - self.mean_size)
-        t = self.triggers[trigger] = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms)
+        t = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms)
+        self.triggers[trigger] = t
         self.gate.taken.append(now)
         seen = self.demand.setdefault(customer, [0.0, now])
         seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + 1.0, now
@@ -317,8 +299,8 @@
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
 
-    def transmission_ended(self, now: float, trigger: int, number: int, executor: int, outcome: Outcome,
-                           took_ms: float, finished: bool, warmth: Warmth, crowd: int, report: Mapping[str, float]) -> None:
+    def transmission_ended(self, now: float, trigger: int, number: int, outcome: Outcome, took_ms: float,
+                           finished: bool, warmth: Warmth, crowd: int, report: Mapping[str, float]) -> None:
         t = self.triggers.get(trigger)
         sent = t.out.pop(number, None) if t else None
         if t is None or sent is None:
@@ -329,11 +311,9 @@
         if not self.keeping.answers_miss:
             e.orders.pop(t.function.index, None)
         f = t.function
-        left = e.lanes_used.get(f.index, 0) - 1
-        if left > 0:
-            e.lanes_used[f.index] = left
-        else:
-            e.lanes_used.pop(f.index, None)
+        e.lanes_used[f.index] -= 1
+        if not e.lanes_used[f.index]:
+            del e.lanes_used[f.index]
         if outcome not in NEVER_RAN:
             t.ran.append((e.listing.hall, e.listing.cell, sent.sent_ms))
         t.answered = t.answered or finished
@@ -358,7 +338,7 @@
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
                 self._paced(e, t, took_ms, now)
             elif warmth is Warmth.BEGAN:
-                self._load_seen(f, took_ms - t.size * self._pace(e))
+                self._load_seen(f, took_ms - t.size * (e.pace or self.median_pace))
         elif outcome is Outcome.MISS:
             e.resume.pop(f.index, None)
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
@@ -371,14 +351,13 @@
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
         elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
             e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
-
         e.ill = e.errors > (WELL_ERRORS if e.ill else AILING_ERRORS)
 
     def _paced(self, e: Executor, t: Trigger, took_ms: float, now: float) -> None:
         f = t.function
         pace = took_ms / max(1.0, t.size)
         if e.pace:
-            gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # one on trial is re-read fast
+            gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # on trial: re-read fast
             pace = min(pace, e.pace * PACE_CLIP)
             e.pace += gain * (pace - e.pace)
         else:
@@ -396,7 +375,7 @@
             self.usual.fulfilled(kind, warm, now)
 
     def _cut(self, e: Executor, now: float) -> None:
-        """Danger: in an overload all that is sent is answered late; less in flight, and in time, is worth more."""
+        """Danger: in an overload all is answered late; less in flight, and in time, is worth more."""
         if now > e.cut_ms + self.mean_ms:
             e.limit, e.cut_ms = max(LIMIT_LEAST, LIMIT_CUT * min(e.limit, e.busy + 1.0)), now
 
@@ -406,14 +385,10 @@
             f.load_ms = f.load_ms + 0.3 * (took_ms - f.load_ms) if f.load_ms else took_ms
 
     def _reported(self, e: Executor, report: Mapping[str, float], now: float) -> None:
-        if not report:
-            return
-        if "inflight" in report:
-            e.others = max(0.0, report["inflight"] - len(e.out))
-        elif "queue" in report:
-            e.others = report["queue"]
-        e.loads = report.get("x1", e.loads)
-        e.report_ms = now
+        if report:
+            e.others, e.report_ms = report.get("queue", 0.0), now
+            if "inflight" in report:
+                e.others = max(0.0, report["inflight"] - len(e.out))
 
     def order_answered(self, now: float, executor: int, function: int, outcome: Outcome, copies: int,
                        took_ms: float) -> None:
@@ -422,8 +397,7 @@
             return
         e.orders.pop(function, None)
         if outcome is Outcome.FULFILLED and copies > 0:
-            skill = e.resume.setdefault(function, Skill(now))
-            skill.seen_ms, skill.copies = now, copies
+            e.resume[function] = Skill(now, copies)
             self._load_seen(f, took_ms)
         elif outcome is Outcome.FULL:
             e.full_until = now + FULL_REST_MS
@@ -431,18 +405,13 @@
             e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
         self.attention.extend(f.held)
 
-    def probe_answered(self, now: float, executor: int, outcome: Outcome, report: Mapping[str, float]) -> None:
-        e = self.executors.get(executor)
-        if e is not None and outcome is Outcome.FULFILLED:
-            self._reported(e, report, now)
-
-    def peer_heard(self, now: float, peer: int, payload: bytes) -> None:
-        """Peers' words are not used yet."""
+    def probe_answered(self, now: float, executor: int, report: Mapping[str, float]) -> None:
+        if executor in self.executors:
+            self._reported(self.executors[executor], report, now)
 
     def client_gone(self, now: float, trigger: int) -> None:
-        t = self.triggers.get(trigger)
-        if t is not None:
-            t.answered = True
+        if trigger in self.triggers:
+            self.triggers[trigger].answered = True
             self.attention.append(trigger)
 
     def time_passed(self, now: float) -> None:
@@ -459,20 +428,20 @@
             else:
                 self._tidy(now)
                 heapq.heappush(self.due, (now + TIDY_MS, -1))
+        while self.wanted:
+            decision = self._order(*self.wanted.popleft(), 1, now)
+            if decision is not None:
+                return decision
         while self.attention:
             t = self.triggers.get(self.attention[0])
             decision = self._for_trigger(t, now) if t is not None else None
             if decision is not None:
                 return decision
             self.attention.popleft()
-        while self.wanted:
-            decision = self._order(*self.wanted.popleft(), 1, now)
-            if decision is not None:
-                return decision
-        if self.due and self.due[0][0] < self.wake_ms:
-            self.wake_ms = self.due[0][0]
-            return Decision(Verb.WAKE, ms=self.wake_ms)
-        return None
+        if not self.due or self.due[0][0] >= self.wake_ms:
+            return None
+        self.wake_ms = self.due[0][0]
+        return Decision(Verb.WAKE, ms=self.wake_ms)
 
     def released(self) -> Released:
         free, self.free = self.free, Released([], [], [])
@@ -483,10 +452,8 @@
             t.function.held.pop(t.index, None)
             return self._withdraw(t)
         if now >= t.answer_by:
-            return self._give_up(t, now)
-        if not t.out:
-            return self._place(t, now)
-        return self._second(t, now)
+            return self._give_up(t)
+        return self._second(t, now) if t.out else self._place(t, now)
 
     def _withdraw(self, t: Trigger) -> Decision | None:
         """Nobody waits for these transmissions any more: spare the executors the work."""
@@ -498,7 +465,7 @@
             self.free.triggers.append(t.index)
         return None
 
-    def _give_up(self, t: Trigger, now: float) -> Decision:
+    def _give_up(self, t: Trigger) -> Decision:
         """Rule 1: the one final answer, at once."""
         t.answered = True
         if self.gate.nack(t):
@@ -508,22 +475,21 @@
     def _place(self, t: Trigger, now: float) -> Decision | None:
         f = t.function
         if t.sent >= self.permits.transmissions:
-            return self._give_up(t, now)
+            return self._give_up(t)
         able = self._able(t, now)
         e = self.choose(f, able, now) if able else None
-        if e is None and self._hopeless(t, now):
-            return self._give_up(t, now)
-        if e is None or self._awaited(e, f, now):
-            if e is None and t.ran and not any(self.gate.send(t, x, len(self.ready), now) for x in self.ready):
-                if t.tariff.effect is not Effect.HARMLESS:  # nothing may be sent again: say so now
-                    return self._give_up(t, now)
+        spent = not able and t.ran and t.tariff.effect is not Effect.HARMLESS
+        if e is None and (spent or self._hopeless(t, now)):
+            return self._give_up(t)  # no place in time, or nothing may be sent again: say so now
+        missing = self.keeping.answers_miss and e is not None and f.index not in e.resume
+        if e is None or missing and self._loading(f, now):  # wait for the order rather than miss again
             f.held[t.index] = None
             heapq.heappush(self.due, (now + LOOK_AGAIN_MS, t.index))
             return None
         return self._send(t, e, now)
 
     def _hopeless(self, t: Trigger, now: float) -> bool:
-        """Every executor has its fill: what is beyond a customer's share goes first, then what would be late."""
+        """No place: what is beyond a customer's share goes first, then what has waited too long."""
         if not self.ready:
             return False
         if t.customer < len(self.customers) and t.customer in self.demand:
@@ -533,12 +499,6 @@
                 return True
         return now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
 
-    def _awaited(self, e: Executor, f: Function, now: float) -> bool:
-        """Where executors answer miss, a trigger waits for the order rather than miss again."""
-        if not self.keeping.answers_miss or f.index in e.resume:
-            return False
-        return any(self._under_way(x, f, now) for x in self.ready)
-
     def _loading(self, f: Function, now: float) -> bool:
         return any(self._under_way(e, f, now) for e in self.ready)
 
@@ -550,8 +510,7 @@
         """Executors that the rules allow, the well ones first: one that ails takes one trigger a while."""
         out = {x.executor for x in t.out.values()}
         allowed = [e for e in self.ready if e not in out and self.gate.send(t, e, len(self.ready), now)]
-        untried = [e for e in allowed if e.listing.executor not in t.tried]
-        allowed = untried or allowed
+        allowed = [e for e in allowed if e.listing.executor not in t.tried] or allowed
         well = [e for e in allowed if not self.ailing(e, now)]
         if t.tariff.effect is Effect.HARMLESS and not t.sent:
             for e in allowed:
@@ -561,9 +520,7 @@
 
     def ailing(self, e: Executor, now: float) -> bool:
         """Told by symptoms: silence, errors, or answers far slower than the fleet's."""
-        if e.ill or e.pace > AILING_PACE * self.median_pace:
-            return True
-        return len(e.overdue) >= AILING_OVERDUE
+        return e.ill or e.pace > AILING_PACE * self.median_pace or len(e.overdue) >= AILING_OVERDUE
 
     def choose(self, f: Function, able: list[Executor], now: float) -> Executor | None:
         """The design page: the skilled executor with the least weighted backlog; one is passed over only
@@ -579,7 +536,7 @@
             return min(kept, key=weight.__getitem__)
         known = any(f.index in e.resume for e in able)
         # danger: in an overload every function would overflow at once, and the loads make all slower
-        if not known or (2 * len(open_to) > len(able) and not self._loading(f, now)):
+        if not known or (len(open_to) >= OPEN_SHARE * len(able) and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
             calm = [e for e in unskilled if weight[e][0] <= limit]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
@@ -591,10 +548,7 @@
     def backlog(self, e: Executor, now: float) -> float:
         """In flight times the average time of a trigger, in ms; others' triggers as reported."""
         fresh = max(0.0, 1.0 - (now - e.report_ms) / REPORT_LIFE_MS)
-        return (len(e.out) + e.others * fresh) * self._pace(e) * self.mean_size
-
-    def _pace(self, e: Executor) -> float:
-        return e.pace or self.median_pace
+        return (len(e.out) + e.others * fresh) * (e.pace or self.median_pace) * self.mean_size
 
     def free_lane(self, e: Executor, f: Function) -> bool:
         return e.lanes_used.get(f.index, 0) < f.lanes * e.resume[f.index].copies
@@ -606,7 +560,8 @@
         skilled = f.index in e.resume
         if self.ailing(e, now):
             e.trial_at = now + TRIAL_MS
-        expected = t.size * self._pace(e) + (0.0 if skilled else f.load_ms or self.load_mean_ms)
+        load_ms = 0.0 if skilled else f.load_ms or self.load_mean_ms
+        expected = t.size * (e.pace or self.median_pace) + load_ms
         due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
         sent = Transmission(t.sent, e, now, due_ms)
         t.out[t.sent] = e.out[(t.index, t.sent)] = sent
@@ -629,11 +584,11 @@
         for sent in t.out.values():
             if now >= sent.due_ms and not sent.overdue:
                 sent.overdue = True
-                if sent.sent_ms > sent.executor.heard_ms:
+                if sent.sent_ms >= sent.executor.heard_ms:
                     sent.executor.overdue.add(t.function.index)
                     if len(sent.executor.overdue) == AILING_OVERDUE:  # silent: look at all it holds at once
                         self.attention.extend(index for index, _ in sent.executor.out)
-            silent = len(sent.executor.overdue) >= AILING_OVERDUE and sent.sent_ms > sent.executor.heard_ms
+            silent = len(sent.executor.overdue) >= AILING_OVERDUE and sent.sent_ms >= sent.executor.heard_ms
             sent.overdue |= silent and now > sent.sent_ms + OVERDUE_SLACK_MS
             latest = sent
         if latest is None or len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
@@ -642,10 +597,8 @@
         if not self.ailing(latest.executor, now):  # only a warm copy is worth it
             able = [e for e in able if t.function.index in e.resume]
         e = self.choose(t.function, able, now) if able else None
-        if e is None:
-            return None
-        self.seconds -= 1.0
-        return self._send(t, e, now)
+        self.seconds -= e is not None
+        return self._send(t, e, now) if e is not None else None
 
     def _order(self, e: Executor, f: Function, copies: int, now: float) -> Decision | None:
         if self._under_way(e, f, now) or len(e.orders) >= ORDERS_PER_EXECUTOR or not self.gate.order(e, now):
@@ -656,10 +609,6 @@
 
     # ---- upkeep
 
-    def _look_at_held(self) -> None:
-        for f in self.functions.values():
-            self.attention.extend(f.held)
-
     def _tidy(self, now: float) -> None:
         """Forget what is stale, so that memory stays bounded."""
         paces = sorted(e.pace for e in self.ready if e.pace)
@@ -670,20 +619,16 @@
                     if now - s.seen_ms > self.keeping.least_keep_ms and i not in e.lanes_used]
             for index in idle:
                 del e.resume[index]
-            for index, at in list(e.orders.items()):
-                if now > at + 2 * self.keeping.order_timeout_ms:
-                    del e.orders[index]
+            e.orders = {i: at for i, at in e.orders.items() if now < at + 2 * self.keeping.order_timeout_ms}
             while e.cold_sends and now - e.cold_sends[0] > 2 * self.gate.cold.warm_ms:
                 e.cold_sends.popleft()
-        gone = [i for i, e in self.executors.items()
-                if e.listing.stage is Stage.GONE and not e.out and now > e.told_ms + self.keeping.order_timeout_ms]
-        for index in gone:
-            del self.executors[index]
-        self.free.executors.extend(gone)
         busy = {t.function.index for t in self.triggers.values()}
-        for e in self.executors.values():
-            busy.update(e.resume, e.orders)
-        stale = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
-        for index in stale:
-            del self.functions[index]
-        self.free.functions.extend(stale)
+        busy.update(i for e in self.executors.values() for i in (*e.resume, *e.orders))
+        gone = [i for i, e in self.executors.items() if e.listing.stage is Stage.GONE and not e.out
+                and now > e.told_ms + self.keeping.order_timeout_ms]
+        old = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
+        for known, stale, free in ((self.executors, gone, self.free.executors),
+                                   (self.functions, old, self.free.functions)):
+            for index in stale:
+                del known[index]
+            free.extend(stale)
--- a/petrelway/drill/codec.py
+++ b/petrelway/drill/codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from typing import Any
 
 from ..choice import FrontEnd
@@ -31,7 +31,7 @@
     "S": Outcome.FULFILLED, "E": Outcome.ERROR, "F": Outcome.FULL, "T": Outcome.TIMEOUT,
     "C": Outcome.UNREACHABLE, "R": Outcome.RESET, "X": Outcome.WITHDRAWN, "N": Outcome.UNSENT,
     "M": Outcome.MISS,
-}  # fmt: skip
+}
 
 
 class WireFault(Exception):
@@ -66,28 +66,28 @@
 
 def make_front_end(now: float, seed: int, told: dict) -> FrontEnd:
     """A FrontEnd from the wire's settings; unknown keys are ignored, missing ones read as nothing."""
-    limits, family, rules = told.get("limits") or {}, told.get("familyInfo") or {}, told.get("invariants") or {}
+    limits, family, rules = (told.get(key) or {} for key in ("limits", "familyInfo", "invariants"))
     tariffs = [
         Tariff(EFFECTS[c.get("effect", "fragile")], SCOPES[c.get("dedupScope") or "all"],
                _number(c, "windowS", 1e3), _number(c, "aimS", 1e3), _number(c, "deadlineS", 1e3),
                float(c.get("worth", 1.0)), _number(c, "lateWorth"))
         for c in told.get("classes") or []
-    ]  # fmt: skip
+    ]
     customers = [Customer(_number(o, "portion"), _number(o, "quotaRps")) for o in told.get("orgs") or []]
-    place = Place(int(told.get("position") or 0), int(told.get("peersTotal") or 1), int(told.get("zone") or 0))
+    place = Place(told.get("position") or 0, told.get("peersTotal") or 1, told.get("zone") or 0)
     permits = Permits(
         int(limits.get("sendCap") or 1), bool(limits.get("secondCopies")), bool(limits.get("cancel")),
         bool(limits.get("probes")), bool(limits.get("peers")),
         _number(limits, "maxRetryAfterS", 1e3) if limits.get("retryAfter") else 0.0,
-    )  # fmt: skip
+    )
     keeping = Keeping(
         family.get("notLoaded") == "miss", bool(family.get("loadControl")), _number(family, "keepS", 1e3),
         _number(family, "orderTimeoutS", 1e3), _number(family, "idlePrice"),
-    )  # fmt: skip
+    )
     cold = ColdRule(_number(rules, "fallMultiple"), _number(rules, "fallS", 1e3),
-                    _number(rules, "startCapacity"), _number(rules, "coldS", 1e3))  # fmt: skip
+                    _number(rules, "startCapacity"), _number(rules, "coldS", 1e3))
     ration = LoadRation(_number(family, "loadsWithinS", 1e3), _number(family, "loadFloor"),
-                        _number(family, "loadsPerRequest"))  # fmt: skip
+                        _number(family, "loadsPerRequest"))
     return FrontEnd(now, seed, place, tariffs, customers, permits, keeping, cold, ration)
 
 
@@ -112,14 +112,13 @@
                 raise WireFault(f"knock names class {tariff}, which the settings do not list")
             trigger, _ = self.triggers.enter(rid)
             front_end.trigger_taken(now, trigger, tariff or 0, customer or 0, function,
-                                    (ttl_s or 0.0) * 1e3, hinted * 1e3)  # fmt: skip
+                                    (ttl_s or 0.0) * 1e3, hinted * 1e3)
         elif kind == "reportBack":
-            rid, number, executor, code, delay, finished, remark, stats = (item[2:] + [None, None])[:8]
-            trigger = self.triggers.index.get(rid)
+            rid, number, _, code, delay, finished, remark, stats = (item[2:] + [None, None])[:8]
+            trigger, remark = self.triggers.index.get(rid), remark or 0
             if trigger is not None:
-                front_end.transmission_ended(now, trigger, number, self._executor(executor), _outcome(code),
-                                             (delay or 0.0) * 1e3, bool(finished),
-                                             Warmth((remark or 0) & 7), (remark or 0) >> 3, stats or {})  # fmt: skip
+                front_end.transmission_ended(now, trigger, number, _outcome(code), (delay or 0.0) * 1e3,
+                                             bool(finished), Warmth(remark & 7), remark >> 3, stats or {})
         elif kind == "reminder":
             front_end.time_passed(now)
         elif kind == "topology":
@@ -135,13 +134,10 @@
             function = self.functions.index.get(fn)
             if function is not None:
                 front_end.order_answered(now, self._executor(executor), function, _outcome(code),
-                                         copies or 0, (delay or 0.0) * 1e3)  # fmt: skip
+                                         copies or 0, (delay or 0.0) * 1e3)
         elif kind == "probeResult":
-            front_end.probe_answered(now, self._executor(item[4]), _outcome(item[2]),
-                                     (item[5] if len(item) > 5 else None) or {})  # fmt: skip
-        elif kind == "inbox":
-            front_end.peer_heard(now, item[2], b64decode(item[3]))
-        elif kind != "firstByte":
+            front_end.probe_answered(now, self._executor(item[4]), (item[5] if len(item) > 5 else None) or {})
+        elif kind not in ("firstByte", "inbox"):  # the module asks for no message yet
             raise WireFault(f"unknown event {kind!r}")
 
     def actions(self, now: float) -> list[list]:
@@ -156,20 +152,22 @@
         return found
 
     def _action(self, d: Decision) -> list:
+        trigger, executor = self.triggers.wire.get(d.trigger), self.executors.wire.get(d.executor)
+        function = self.functions.wire.get(d.function)
         if d.verb is Verb.SEND:
-            return ["forward", self.name, self.triggers.wire[d.trigger], self.executors.wire[d.executor], d.ms / 1e3]
+            return ["forward", self.name, trigger, executor, d.ms / 1e3]
         if d.verb is Verb.WITHDRAW:
-            return ["dropAttempt", self.name, self.triggers.wire[d.trigger], d.number]
+            return ["dropAttempt", self.name, trigger, d.number]
         if d.verb is Verb.NACK:
-            return ["bounce", self.name, self.triggers.wire[d.trigger], d.ms / 1e3]
+            return ["bounce", self.name, trigger, d.ms / 1e3]
         if d.verb is Verb.BREAK_OFF:
-            return ["respondError", self.name, self.triggers.wire[d.trigger]]
+            return ["respondError", self.name, trigger]
         if d.verb is Verb.ORDER:
-            return ["startCopy", self.name, self.executors.wire[d.executor], d.number, self.functions.wire[d.function]]
+            return ["startCopy", self.name, executor, d.number, function]
         if d.verb is Verb.UNLOAD:
-            return ["drop", self.name, self.functions.wire[d.function], self.executors.wire[d.executor]]
+            return ["drop", self.name, function, executor]
         if d.verb is Verb.PROBE:
-            return ["ping", self.name, self.executors.wire[d.executor]]
+            return ["ping", self.name, executor]
         if d.verb is Verb.TELL:
             return ["signal", self.name, "all", b64encode(d.payload).decode()]
         return ["schedule", self.name, d.ms / 1e3, "look"]
@@ -180,7 +178,7 @@
             raise WireFault(f"topology names an unknown state {stage!r}")
         index, _ = self.executors.enter(wire)
         return Listing(index, wire, hall or 0, machine or 0, cell or 0, STAGES[stage], weight or 1.0,
-                       (started or 0.0) * 1e3)  # fmt: skip
+                       (started or 0.0) * 1e3)
 
     def _executor(self, wire: str) -> int:
         return self.executors.index.get(wire, -1)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,16 +9,17 @@
 
 
 class Host:
-    def __init__(self, executors=3, effect=Effect.HARMLESS, scope=Scope.ALL, misses=False, seconds=True, sends=5,
-                 ration=(0.0, 0.0, 0.0), rate=300.0, peers=1, started=None):
+    def __init__(self, executors=3, effect=Effect.HARMLESS, scope=Scope.ALL, misses=False, seconds=True,
+                 sends=5, ration=(0.0, 0.0, 0.0), rate=300.0, peers=1, started=None):
         self.now = START
         self.fe = FrontEnd(
             START, 7, Place(0, peers, 0), [Tariff(effect, scope, 4000.0, 1000.0, 4000.0, 1.0, 0.1)],
             [Customer(0.6, rate), Customer(0.4, rate)], Permits(sends, seconds, True, False, False, 500.0),
-            Keeping(misses, True, 8000.0, 10000.0, 0.1), ColdRule(4.0, 1500.0, 0.2, 15000.0), LoadRation(*ration))
+            Keeping(misses, True, 8000.0, 10000.0, 0.1), ColdRule(4.0, 1500.0, 0.2, 15000.0),
+            LoadRation(*ration))
         self.serial = 0
         if executors:
-            self.lists({e: Stage.READY for e in range(executors)}, started=started or {})
+            self.lists(dict.fromkeys(range(executors), Stage.READY), started=started or {})
 
     def lists(self, stages, complete=True, started=None, halls=2):
         lines = [Listing(e, f"e{e}", e % halls, 0, e // 2, s, 1.0, (started or {}).get(e, 0.0))
@@ -34,7 +35,7 @@
 
     def end(self, trigger, outcome, number=0, executor=0, took=100.0, warmth=Warmth.FOUND, finished=None):
         done = outcome is Outcome.FULFILLED if finished is None else finished
-        self.fe.transmission_ended(self.now, trigger, number, executor, outcome, took, done, warmth, 0, {})
+        self.fe.transmission_ended(self.now, trigger, number, outcome, took, done, warmth, 0, {})
 
     def pull(self, forward=0.0) -> list[Decision]:
         """All decisions now, or up to a later time as the wakes fall due."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -64,7 +64,8 @@
     host = Host(3)
     host.teach(0)
     for _ in range(4):
-        host.fe.executors[0].trial_at = host.now + 1e6 if host.fe.executors[0].ill else host.fe.executors[0].trial_at
+        if host.fe.executors[0].ill:
+            host.fe.executors[0].trial_at = host.now + 1e6
         t = host.take()
         d = host.pull()[0]
         host.end(t, Outcome.ERROR, executor=d.executor)
@@ -96,12 +97,11 @@
 def test_crowded_holds_then_nacks():
     """Danger: in an overload all is answered late."""
     host = Host(2)
-    for e in host.fe.ready:
-        e.limit = 1.0
     for function in range(2):
         host.teach(function, function)
         host.take(function)
         host.pull()
+        host.fe.executors[function].limit = 1.0
     t = host.take(0)
     assert verbs(host.pull(250.0)) == []  # held for a place
     assert verbs(host.pull(200.0)) == ["NACK"] and t not in host.fe.triggers
@@ -123,5 +123,5 @@
     host.end(1, Outcome.FULFILLED)  # late, unknown: nothing happens
     host.fe.client_gone(host.now, 1)
     host.fe.order_answered(host.now, 0, 0, Outcome.FULFILLED, 1, 1.0)
-    host.fe.probe_answered(host.now, 0, Outcome.FULFILLED, {"queue": 1.0})
+    host.fe.probe_answered(host.now, 0, {"queue": 1.0})
     assert host.pull() == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,14 +4,14 @@
 
 from petrelway.interface import Effect, Outcome, Scope, Stage, Verb
 
-H, S, O = Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT
+H, S, ONE = Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT
 ALL, HALL, CELL = Scope.ALL, Scope.HALL, Scope.CELL
 FULFILLED, ERROR, FULL, TIMEOUT = Outcome.FULFILLED, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT
 UNREACHABLE, RESET, WITHDRAWN, UNSENT = Outcome.UNREACHABLE, Outcome.RESET, Outcome.WITHDRAWN, Outcome.UNSENT
 
 
 def test_one_final_answer():
-    # executors, what ends the transmission (None: nothing), finished, decisions up to the end of the client's time
+    # executors, what ends the transmission (None: nothing), finished, decisions up to the end
     table = [
         (2, None, None, ["SEND", "NACK", "WITHDRAW"]),  # no answer: nacked before the client's time is up
         (2, FULFILLED, True, ["SEND"]),
@@ -38,7 +38,7 @@
 
 
 def test_no_effect_twice():
-    # effect, scope, outcome of the first, waited ms, does a repeat go out, hall and cell kept, final answer else
+    # effect, scope, outcome of the first, waited ms, does a repeat go out, hall and cell kept
     table = [
         (H, ALL, ERROR, 0.0, "SEND", None),
         (H, ALL, TIMEOUT, 3000.0, "SEND", None),
@@ -48,12 +48,12 @@
         (S, HALL, RESET, 3960.0, "BREAK_OFF", None),
         (S, CELL, ERROR, 0.0, "SEND", "cell"),
         (S, CELL, WITHDRAWN, 3960.0, "BREAK_OFF", None),
-        (O, ALL, ERROR, 0.0, "BREAK_OFF", None),
-        (O, ALL, TIMEOUT, 0.0, "BREAK_OFF", None),
-        (O, ALL, WITHDRAWN, 0.0, "BREAK_OFF", None),
-        (O, ALL, UNREACHABLE, 0.0, "SEND", None),
-        (O, ALL, FULL, 0.0, "SEND", None),
-        (O, ALL, UNSENT, 0.0, "SEND", None),
+        (ONE, ALL, ERROR, 0.0, "BREAK_OFF", None),
+        (ONE, ALL, TIMEOUT, 0.0, "BREAK_OFF", None),
+        (ONE, ALL, WITHDRAWN, 0.0, "BREAK_OFF", None),
+        (ONE, ALL, UNREACHABLE, 0.0, "SEND", None),
+        (ONE, ALL, FULL, 0.0, "SEND", None),
+        (ONE, ALL, UNSENT, 0.0, "SEND", None),
         (S, HALL, FULL, 3960.0, "SEND", None),  # it never ran: anywhere, any time
     ]
     for effect, scope, outcome, waited, expected, group in table:
@@ -67,7 +67,7 @@
         at, then = (host.fe.executors[d.executor].listing for d in (first, second[0])) if group else (0, 0)
         if group:
             assert getattr(at, group) == getattr(then, group)
-    host = Host(4, O, seconds=True)  # one-shot: no second copy beside the first, however late
+    host = Host(4, ONE, seconds=True)  # one-shot: no second copy beside the first, however late
     host.take(remaining=3900.0)
     assert verbs(host.pull(3899.0)) == ["SEND", "BREAK_OFF", "WITHDRAW"]
 
