--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -53,6 +53,7 @@
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
+LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
 OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
@@ -146,8 +147,7 @@
 
     def fulfilled(self, machine: int, warm: int, now: float) -> None:
         count, at = self.seen.get(machine, (0.0, now))
-        count = count * math.exp((at - now) / RATE_SPAN_MS) + 1.0
-        self.seen[machine] = (count, now)
+        self.seen[machine] = count, _ = count * math.exp((at - now) / RATE_SPAN_MS) + 1.0, now
         span = RATE_SPAN_MS * (1.0 - math.exp((self.start - now) / RATE_SPAN_MS)) + RATE_SPAN_MS / 5
         if warm:
             self.kept[machine] = count / span / warm
@@ -331,8 +331,7 @@
             e.heard_ms = now
             e.overdue.clear()
         if outcome is Outcome.FULFILLED:
-            e.errors *= 1.0 - ERROR_GAIN
-            e.full_rest = FULL_REST_MS
+            e.errors, e.full_rest = e.errors * (1.0 - ERROR_GAIN), FULL_REST_MS
             skill = e.resume.setdefault(f.index, Skill(now))
             skill.seen_ms = now
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
@@ -344,8 +343,7 @@
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
-            e.full_until = now + e.full_rest
-            e.full_rest = min(2 * e.full_rest, TRIAL_MS)
+            e.full_until, e.full_rest = now + e.full_rest, min(2 * e.full_rest, TRIAL_MS)
             self._cut(e, now)
         elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
@@ -495,7 +493,7 @@
         if t.customer < len(self.customers) and t.customer in self.demand:
             rate = self.demand[t.customer][0] / DEMAND_SPAN_MS * 1000.0 * self.place.peers
             told = self.customers[t.customer].rate
-            if told and rate > OVER_SHARE * told:
+            if 0.0 < OVER_SHARE * told < rate:
                 return True
         return now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
 
@@ -536,9 +534,11 @@
             return min(kept, key=weight.__getitem__)
         known = any(f.index in e.resume for e in able)
         # danger: in an overload every function would overflow at once, and the loads make all slower
-        if not known or (len(open_to) >= OPEN_SHARE * len(able) and not self._loading(f, now)):
+        loads = sum(len(e.orders) for e in self.ready)
+        quiet = len(open_to) >= OPEN_SHARE * len(able) and loads < LOADS_SHARE * len(able)
+        if not known or (quiet and not self._loading(f, now)):
             unskilled = [e for e in open_to if f.index not in e.resume]
-            calm = [e for e in unskilled if weight[e][0] <= limit]
+            calm = [e for e in unskilled if weight[e][0] <= (mean if known else limit)]
             if calm:  # the page leaves the executor of a new load open: the shared rank picks it
                 return max(calm, key=lambda e: f.rank(e.listing.stable))
             if not known:
