--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -54,6 +54,7 @@
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
+WAITERS = 2.0  # own triggers at an executor, those that wait for loads too, at most this times its limit
 OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
@@ -82,6 +83,7 @@
         self.sent = 0
         self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
         self.answered = False  # no answer is owed any more
+        self.repeat = False  # the client asks again
         self.tried: set[int] = set()  # executors that failed it
 
 
@@ -285,7 +287,7 @@
         f.used_ms = now
 
     def trigger_taken(self, now: float, trigger: int, tariff: int, customer: int, function: int,
-                      remaining_ms: float, work_ms: float) -> None:
+                      remaining_ms: float, work_ms: float, repeat: bool) -> None:
         f = self.functions[function]
         f.used_ms = now
         size = work_ms or f.mean_ms or self.mean_ms
@@ -294,7 +296,8 @@
         self.triggers[trigger] = t
         self.gate.taken.append(now)
         seen = self.demand.setdefault(customer, [0.0, now])
-        seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + 1.0, now
+        t.repeat = repeat
+        seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + (not repeat), now
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
@@ -493,7 +496,7 @@
         if t.customer < len(self.customers) and t.customer in self.demand:
             rate = self.demand[t.customer][0] / DEMAND_SPAN_MS * 1000.0 * self.place.peers
             told = self.customers[t.customer].rate
-            if 0.0 < OVER_SHARE * told < rate:
+            if t.repeat or 0.0 < OVER_SHARE * told < rate:
                 return True
         return now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
 
@@ -527,7 +530,8 @@
         weight = {e: (load[e], self.chance.random()) for e in able}
         mean = sum(load.values()) / len(load)
         limit = VARIANCE * max(mean, self.mean_size * self.median_pace)
-        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit]
+        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit
+                   and len(e.out) < WAITERS * e.limit]
         skilled = [e for e in open_to if f.index in e.resume]
         kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
         if kept:
--- a/petrelway/drill/codec.py
+++ b/petrelway/drill/codec.py
@@ -112,7 +112,7 @@
                 raise WireFault(f"knock names class {tariff}, which the settings do not list")
             trigger, _ = self.triggers.enter(rid)
             front_end.trigger_taken(now, trigger, tariff or 0, customer or 0, function,
-                                    (ttl_s or 0.0) * 1e3, hinted * 1e3)
+                                    (ttl_s or 0.0) * 1e3, hinted * 1e3, bool((marks or 0) & 2))
         elif kind == "reportBack":
             rid, number, _, code, delay, finished, remark, stats = (item[2:] + [None, None])[:8]
             trigger, remark = self.triggers.index.get(rid), remark or 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -30,7 +30,7 @@
         if function not in self.fe.functions:
             self.fe.function_named(self.now, function, f"f{function}", 100.0, 2, 500.0)
         self.serial += 1
-        self.fe.trigger_taken(self.now, self.serial, 0, customer, function, remaining, work)
+        self.fe.trigger_taken(self.now, self.serial, 0, customer, function, remaining, work, False)
         return self.serial
 
     def end(self, trigger, outcome, number=0, executor=0, took=100.0, warmth=Warmth.FOUND, finished=None):
