--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -36,7 +36,7 @@
 ERROR_GAIN = 0.2  # weight of one answer in an executor's share of errors
 WELL_ERRORS = 0.12  # and below this share it is well again
 TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often
-FULL_REST_MS = 150.0  # an executor that answered full is left alone for this time, twice as long each time
+FULL_REST_MS = 60.0  # an executor that answered full is left alone for this time
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
 WINDOW_EARLY_MS = 60.0  # a stamped repeat must arrive this long before its mark is forgotten
@@ -48,13 +48,12 @@
 ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
 LIMIT_LEAST = 2.0  # never less, or it would not be seen to recover
-CROWDED = 0.6  # answers slower than this share of the quoted time: the executor has too much in flight
+CROWDED = 0.5  # answers slower than this share of the quoted time: the executor has too much in flight
 LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
-WAITERS = 2.0  # own triggers at an executor, those that wait for loads too, at most this times its limit
 OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
@@ -113,7 +112,6 @@
         self.limit, self.cut_ms = LIMIT_START, -math.inf
         self.heard_ms = -math.inf
         self.ill = False  # its share of errors went past AILING_ERRORS
-        self.full_rest = FULL_REST_MS
         self.overdue: set[int] = set()  # functions found overdue with nothing heard since they were sent
         self.full_until = self.trial_at = -math.inf
         self.cold_sends: deque[float] = deque()
@@ -334,7 +332,7 @@
             e.heard_ms = now
             e.overdue.clear()
         if outcome is Outcome.FULFILLED:
-            e.errors, e.full_rest = e.errors * (1.0 - ERROR_GAIN), FULL_REST_MS
+            e.errors *= 1.0 - ERROR_GAIN
             skill = e.resume.setdefault(f.index, Skill(now))
             skill.seen_ms = now
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
@@ -346,8 +344,7 @@
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
-            e.full_until, e.full_rest = now + e.full_rest, min(2 * e.full_rest, TRIAL_MS)
-            self._cut(e, now)
+            e.full_until = now + FULL_REST_MS
         elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
             e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
         elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
@@ -530,8 +527,7 @@
         weight = {e: (load[e], self.chance.random()) for e in able}
         mean = sum(load.values()) / len(load)
         limit = VARIANCE * max(mean, self.mean_size * self.median_pace)
-        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit
-                   and len(e.out) < WAITERS * e.limit]
+        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit]
         skilled = [e for e in open_to if f.index in e.resume]
         kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
         if kept:
