--- a/petrelway/drill/__main__.py
+++ b/petrelway/drill/__main__.py
@@ -37,7 +37,11 @@
         except (IndexError, KeyError, TypeError, ValueError) as error:
             raise WireFault(f"malformed event {item!r:.200}: {error!r}") from error
     for name in awake:
-        actions.extend(doors[name].actions(now))
+        try:
+            actions.extend(doors[name].actions(now))
+        except Exception as error:  # the wire asks for a word when the decision code itself fails
+            print(f"petrelway.drill: the decision code failed for {name}: {error!r}", file=sys.stderr)
+            actions.append(["fatal", name, f"{error!r:.200}"])
     return json.dumps({"turn": turn, "actions": actions}, separators=(",", ":"))
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -125,3 +125,44 @@
     host.fe.order_answered(host.now, 0, 0, Outcome.FULFILLED, 1, 1.0)
     host.fe.probe_answered(host.now, 0, {"queue": 1.0})
     assert host.pull() == []
+
+
+def test_overflow_needs_an_open_fleet():
+    """Danger: in an overload every function overflows at once, and the loads make all slower."""
+    # crowded of 8 executors, own loads under way, function's own load under way, does it overflow
+    for crowded, loads, own, expected in ((1, 0, False, True), (3, 0, False, False), (1, 2, False, False),
+                                          (1, 0, True, False)):
+        host = Host(8)
+        host.teach(0)
+        f, e = host.fe.functions[0], host.fe.executors
+        for index in range(crowded):
+            e[index].limit = 0.0
+        for index in range(loads):
+            e[7].orders[90 + index] = host.now
+        if own:
+            e[7].orders[0] = host.now
+        chosen = host.fe.choose(f, host.fe.ready, host.now)
+        assert (chosen is not None) == expected, (crowded, loads, own)
+
+
+def test_who_gives_way():
+    """Danger: in a jam clients ask again, and their repeats must not push out what is new."""
+    # repeat, customer's first tries a second against its told rate, nacked at once
+    for repeat, beyond, expected in ((False, False, []), (True, False, ["NACK"]), (False, True, ["NACK"])):
+        host = Host(2, rate=20.0)
+        host.teach(0)
+        for e in host.fe.ready:
+            e.full_until = host.now + 150.0
+        host.fe.demand[0] = [200.0 if beyond else 1.0, host.now]
+        host.fe.trigger_taken(host.now, 99, 0, 0, 0, 4000.0, 100.0, repeat)
+        assert verbs(host.pull()) == expected, (repeat, beyond)
+
+
+def test_full_is_no_illness():
+    host = Host(2)
+    for _ in range(20):
+        t = host.take()
+        host.end(t, Outcome.FULL, executor=host.pull()[0].executor)
+        host.pull(70.0)
+    assert not any(host.fe.ailing(e, host.now) for e in host.fe.ready)
+    assert [e.limit for e in host.fe.ready] == [e.limit for e in Host(2).fe.ready]
