A customer is beyond its share only by rate and by portion

Cause: one front end's rate times their number overstates the customers of a large one. Front ends that each serve one customer see portions only.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -54,7 +54,7 @@
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
-OVER_SHARE = 1.1  # a customer is beyond its share past this times its told rate
+OVER_SHARE = 1.2  # a customer is beyond its share past this times its told rate, and its told portion
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
 
@@ -354,12 +354,9 @@
     def _paced(self, e: Executor, t: Trigger, took_ms: float, now: float) -> None:
         f = t.function
         pace = took_ms / max(1.0, t.size)
-        if e.pace:
-            gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # on trial: re-read fast
-            pace = min(pace, e.pace * PACE_CLIP)
-            e.pace += gain * (pace - e.pace)
-        else:
-            e.pace = min(pace, self.median_pace * PACE_CLIP)
+        e.pace = e.pace or min(pace, self.median_pace * PACE_CLIP)
+        gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # on trial: re-read fast
+        e.pace += gain * (min(pace, e.pace * PACE_CLIP) - e.pace)
         if e.pace * self.mean_size > CROWDED * t.tariff.quoted_ms:
             self._cut(e, now)
         elif e.busy + 1 >= e.limit:
@@ -490,12 +487,14 @@
         """No place: what is beyond a customer's share goes first, then what has waited too long."""
         if not self.ready:
             return False
-        if t.customer < len(self.customers) and t.customer in self.demand:
-            rate = self.demand[t.customer][0] / DEMAND_SPAN_MS * 1000.0 * self.place.peers
-            told = self.customers[t.customer].rate
-            if t.repeat or 0.0 < OVER_SHARE * told < rate:
+        if t.customer < len(self.customers):
+            customer, seen = self.customers[t.customer], self.demand[t.customer][0]
+            rate = seen / DEMAND_SPAN_MS * 1000.0 * self.place.peers
+            # both ways to look at it: front ends may differ much in size
+            more = seen > OVER_SHARE * customer.portion * sum(d[0] for d in self.demand.values())
+            if more and 0.0 < OVER_SHARE * customer.rate < rate:
                 return True
-        return now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
+        return t.repeat or now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
 
     def _loading(self, f: Function, now: float) -> bool:
         return any(self._under_way(e, f, now) for e in self.ready)
