--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -121,3 +121,25 @@
             host.end(t, Outcome.MISS, executor=decisions[0].executor)
         ordered = sum(d.verb is Verb.ORDER for d in host.pull(300.0))
         assert ordered == expected, (free, share, ordered)
+
+
+def test_the_gate_itself():
+    # what is changed before the gate is asked for a further send of a harmless trigger, does it pass
+    table = [
+        ({}, Stage.READY, True, True),
+        ({"answered": True}, Stage.READY, True, False),
+        ({"sent": 5}, Stage.READY, True, False),
+        ({"answer_by": 0.0}, Stage.READY, True, False),
+        ({}, Stage.READY, False, False),  # one out, and no second copies
+        ({}, Stage.DRAINING, True, False),
+        ({}, Stage.GONE, True, False),
+    ]
+    for changes, stage, seconds, expected in table:
+        host = Host(2, seconds=seconds)
+        t = host.fe.triggers[host.take()]
+        first = host.pull()[0].executor
+        for name, value in changes.items():
+            setattr(t, name, value)
+        e = host.fe.executors[1 - first]
+        e.listing = e.listing._replace(stage=stage)
+        assert host.fe.gate.send(t, e, 2, host.now) == expected, (changes, stage, seconds)
