Two orders of the ration kept back for functions with no copy anywhere

Cause believed: after a restart the ration is small, and spreading could use up what a function without any copy needs. May harm a hot function just after a restart, which spreads a little later.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -44,6 +44,7 @@
 RATE_SPAN_MS = 10000.0  # span over which fulfilled triggers are averaged for rule 4
 RATION_EDGE_MS = 20.0  # both edges of the ration's window are read to our disadvantage
 DEMAND_SPAN_MS = 3000.0  # span over which a customer's rate is averaged
+ORDERS_KEPT = 2.0  # of the ration, kept back for functions with no copy anywhere
 ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
 ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
@@ -208,8 +209,8 @@
         recent = sum(1 for at in e.cold_sends if at > now - span)
         return recent + 1 <= rate * span + 1e-9
 
-    def order(self, e: Executor, now: float) -> bool:
-        return e.listing.stage is Stage.READY and self.orders_left(now) >= 1.0  # rules 3 and 5
+    def order(self, e: Executor, kept: float, now: float) -> bool:
+        return e.listing.stage is Stage.READY and self.orders_left(now) >= 1.0 + kept  # rules 3, 5
 
     def orders_left(self, now: float) -> float:
         ration = self.ration
@@ -254,8 +255,6 @@
         self.free = Released([], [], [])
         heapq.heappush(self.due, (now + TIDY_MS, -1))
 
-    # ---- inputs: they only update what is known
-
     def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
         named = set()
         for listing in listings:
@@ -412,8 +411,6 @@
     def time_passed(self, now: float) -> None:
         self.wake_ms = math.inf
 
-    # ---- deciding
-
     def decide(self, now: float) -> Decision | None:
         """The next thing to do, or None."""
         while self.due and self.due[0][0] <= now:
@@ -600,14 +597,14 @@
         return self._send(t, e, now) if e is not None else None
 
     def _order(self, e: Executor, f: Function, copies: int, now: float) -> Decision | None:
-        if self._under_way(e, f, now) or len(e.orders) >= ORDERS_PER_EXECUTOR or not self.gate.order(e, now):
+        kept = ORDERS_KEPT if any(f.index in x.resume for x in self.ready) else 0.0
+        most = len(e.orders) >= ORDERS_PER_EXECUTOR
+        if most or self._under_way(e, f, now) or not self.gate.order(e, kept, now):
             return None
         e.orders[f.index] = now
         self.gate.ordered.append(now)
         return Decision(Verb.ORDER, executor=e.listing.executor, function=f.index, number=copies)
 
-    # ---- upkeep
-
     def _tidy(self, now: float) -> None:
         """Forget what is stale, so that memory stays bounded."""
         paces = sorted(e.pace for e in self.ready if e.pace)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,6 +123,18 @@
         assert ordered == expected, (free, share, ordered)
 
 
+def test_ration_kept_for_what_has_no_copy():
+    # free orders, is the function warm elsewhere, is the order given
+    for free, warm, expected in ((1.0, False, ["ORDER"]), (1.0, True, []), (3.0, True, ["ORDER"])):
+        host = Host(3, misses=True, ration=(10000.0, free, 0.0))
+        host.take()
+        host.pull()
+        if warm:
+            host.teach(1)
+        host.fe.wanted.append((host.fe.executors[0], host.fe.functions[0]))
+        assert verbs(host.pull()) == expected, (free, warm)
+
+
 def test_the_gate_itself():
     # what is changed before the gate is asked for a further send of a harmless trigger, does it pass
     table = [
