--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -11,8 +11,8 @@
 import heapq
 import math
 import random
-from collections import deque
-from collections.abc import Iterable, Mapping
+from collections import Counter, deque
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from .interface import (
@@ -22,49 +22,57 @@
 # Tuned values. Times in ms.
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
 PACE_GAIN = 0.15  # weight of one answer in an executor's pace (latency over size); clipped at PACE_CLIP
+PACE_SPAN_MS = 30000.0  # and more if the present pace is old against this
+KIND_RISE, KIND_FALL = 0.003, 0.01  # an answer moves its machine kind's usual pace by this: a low quantile
 PACE_CLIP = 4.0  # one dear trigger counts at most as this many times the present pace
 UNHEARD_SIZE_MS = 200.0  # size of a trigger before any answer or hint
 UNHEARD_LOAD_MS = 1000.0  # time of a load before one was seen
-REPORT_LIFE_MS = 2000.0  # a report's word on others' triggers fades to nothing over this time
+LOAD_GAIN = 0.3  # weight of one load in its function's load time
 OVERDUE_FACTOR = 4.0  # a transmission is overdue past this times its expected time ...
-OVERDUE_SLACK_MS = 60.0  # ... plus this
-SECOND_SHARE = 0.05  # further transmissions earned per trigger taken: they cannot feed an overload
-SECOND_SAVED = 15.0  # most of them saved up, enough to rescue what one silent executor held
-AILING_OVERDUE = 3  # functions overdue at one executor, and nothing heard since they were sent: silent
-AILING_ERRORS = 0.3  # share of recent answers that are errors
-AILING_PACE = 5.0  # times the median pace
-ERROR_GAIN = 0.2  # weight of one answer in an executor's share of errors
-WELL_ERRORS = 0.12  # and below this share it is well again
-TRIAL_MS = 1000.0  # an ailing executor gets one trigger each so often
-FULL_REST_MS = 60.0  # an executor that answered full is left alone for this time
+OVERDUE_SLACK_MS = 60.0  # ... plus this, or while another one could still be in time ...
+OVERDUE_LEAST = 2.0  # ... but not before this times its expected time
+SECOND_SHARE = 0.1  # further transmissions earned per trigger taken: they cannot feed an overload
+SECOND_SAVED = 15.0  # most of them saved up
+FAILED = 1.7  # a failure makes a pace this many times slower
+AILING_PACE = 8.0  # times its kind's usual pace: as slow as any evidence makes an executor
+REFUSED_MS = 100.0  # a full that took longer than this was no full queue, but a limit for this customer ...
+REFUSED_REST_MS = 8000.0  # ... which is respected for this time
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
 ANSWER_EARLY_MS = 6.0  # the final answer goes out this long before the client's time is up
 WINDOW_EARLY_MS = 60.0  # a stamped repeat must arrive this long before its mark is forgotten
-COLD_MARGIN = 0.6  # share of what rule 4 lets a front end send, for bursts and chance
+COLD_MARGIN = 0.6  # share of what rule 4 lets a front end send, for bursts and chance ...
+COLD_LUCK = 0.6  # ... and of that, where its own share is a fraction of one trigger
 RATE_SPAN_MS = 10000.0  # span over which fulfilled triggers are averaged for rule 4
 RATION_EDGE_MS = 20.0  # both edges of the ration's window are read to our disadvantage
-DEMAND_SPAN_MS = 3000.0  # span over which a customer's rate is averaged
-ORDERS_KEPT = 2.0  # of the ration, kept back for functions with no copy anywhere
+ASKED_SPAN_MS = 40000.0  # span over which a function's share of the triggers is averaged
+ASKED_PRIOR = 10.0  # triggers of other functions assumed before any came
+SPREAD = 3.0  # homes of a function, times its share of the fleet
+LANES_FILLED = 0.5  # of a function's lanes at its homes
+OWN_VIEW = 8.0  # weight of own triggers in flight for each executor against what the shared rank presumes
+SPARSE = 0.25  # own triggers in flight for each executor: with fewer, our own counts tell nothing
 ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
-ORDER_LATE = 2.5  # an order counts as lost past this times the expected load time
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
 LIMIT_LEAST = 2.0  # never less, or it would not be seen to recover
 CROWDED = 0.5  # answers slower than this share of the quoted time: the executor has too much in flight
 LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
-OPEN_SHARE = 0.75  # no overflow while fewer of the able executors than this are open
+LATE = 0.8  # answers slower than this share of the quoted time: the fleet has too much to do
+SLOWED = 2.5  # and slower than this times the usual pace: it was the crowd, not the trigger
+CLOSED_SHARE = 0.25  # no overflow while more of the executors than this are crowded
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
-OVER_SHARE = 1.2  # a customer is beyond its share past this times its told rate, and its told portion
+STALL_MS = 100.0  # a wake that comes this late: the front end itself stood still
 TIDY_MS = 1000.0  # forgetting is done this often
 FORGET_FUNCTION_MS = 60000.0  # a function not asked for this long is forgotten
+MIX = 0x9E3779B97F4A7C15  # an odd number with scattered bits, for the shared rank
 
 
 class Transmission:
     """One transmission that is out."""
 
-    def __init__(self, number: int, executor: Executor, sent_ms: float, due_ms: float) -> None:
-        self.number, self.executor = number, executor
+    def __init__(self, number: int, executor: Executor, function: Function, sent_ms: float,
+                 due_ms: float) -> None:
+        self.number, self.executor, self.function = number, executor, function
         self.sent_ms, self.due_ms = sent_ms, due_ms
         self.busy = True  # not known to wait for a load
         self.overdue = self.withdrawn = False
@@ -74,7 +82,7 @@
     """One trigger, from the taking to the end of its last transmission."""
 
     def __init__(self, index: int, tariff: Tariff, customer: int, function: Function, size: float,
-                 now: float, remaining_ms: float) -> None:
+                 now: float, remaining_ms: float, repeat: bool, luck: float) -> None:
         self.index, self.tariff, self.customer = index, tariff, customer
         self.function, self.size = function, size
         self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
@@ -83,15 +91,9 @@
         self.sent = 0
         self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
         self.answered = False  # no answer is owed any more
-        self.repeat = False  # the client asks again
+        self.repeat, self.luck = repeat, luck  # its draw where a budget is a fraction of one trigger
         self.tried: set[int] = set()  # executors that failed it
-
-
-class Skill:
-    """A line of an executor's resume."""
-
-    def __init__(self, seen_ms: float, copies: int = 1) -> None:
-        self.seen_ms, self.copies = seen_ms, copies
+        self.missed: set[int] = set()  # and those that lacked its function
 
 
 class Executor:
@@ -100,21 +102,17 @@
     def __init__(self, listing: Listing, now: float) -> None:
         self.listing = listing
         self.told_ms = now  # when the present stage was first told
+        self.salt = int.from_bytes(blake2b(listing.stable.encode(), digest_size=8).digest(), "big")
         self.out: dict[tuple[int, int], Transmission] = {}
-        self.lanes_used: dict[int, int] = {}  # function -> own transmissions out
         self.busy = 0  # those of them that do not wait for a load
         self.restart(listing)
 
     def restart(self, listing: Listing) -> None:
         """A new process: empty, unheard, and well until it shows otherwise."""
-        self.resume: dict[int, Skill] = {}
-        self.pace = 0.0  # 0: unheard
-        self.others, self.report_ms, self.errors = 0.0, -math.inf, 0.0
+        self.resume: dict[int, float] = {}  # function -> when last seen
+        self.pace, self.paced_ms = 0.0, -math.inf  # 0: unheard
         self.limit, self.cut_ms = LIMIT_START, -math.inf
-        self.heard_ms = -math.inf
-        self.ill = False  # its share of errors went past AILING_ERRORS
-        self.overdue: set[int] = set()  # functions found overdue with nothing heard since they were sent
-        self.full_until = self.trial_at = -math.inf
+        self.refused: dict[int, float] = {}  # customer -> until when
         self.cold_sends: deque[float] = deque()
         self.orders: dict[int, float] = {}  # function -> when ordered
 
@@ -122,48 +120,31 @@
 class Function:
     """What is known of one function."""
 
-    def __init__(self, index: int, stable: str, lanes: int, load_ms: float) -> None:
-        self.index, self.stable = index, stable
-        self.lanes, self.load_ms = max(1, lanes), load_ms
-        self.mean_ms = self.used_ms = 0.0
+    def __init__(self, index: int, stable: str, lanes: int, load_ms: float, now: float) -> None:
+        self.index = index
+        self.salt = int.from_bytes(blake2b(stable.encode(), digest_size=8).digest(), "big")
+        self.lanes, self.load_ms = max(1, lanes), load_ms or UNHEARD_LOAD_MS
+        self.mean_ms, self.used_ms, self.asked = 0.0, now, 0.0
         self.held: dict[int, None] = {}  # triggers that wait for a copy
-        self.ranks: dict[str, int] = {}
+        self.skilled: dict[int, Executor] = {}  # whose resumes have it
+        self.order: list[Executor] = []  # ready ones by rank, as of the list numbered so
+        self.order_of = -1
 
-    def rank(self, stable: str) -> int:
+    def rank(self, e: Executor) -> int:
         """A draw that all front ends share without a word: loads of a function meet at one executor."""
-        if stable not in self.ranks:
-            text = f"{self.stable} {stable}".encode()
-            self.ranks[stable] = int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
-        return self.ranks[stable]
-
-
-class Usual:
-    """What a warm executor of each machine kind is seen to carry of this front end's triggers."""
-
-    def __init__(self, start: float, customers: Iterable[Customer], peers: int) -> None:
-        self.start = start
-        self.told_rate = sum(c.rate for c in customers) / 1000.0 / max(1, peers)
-        self.seen: dict[int, tuple[float, float]] = {}  # machine -> decayed count, time
-        self.kept: dict[int, float] = {}
-
-    def fulfilled(self, machine: int, warm: int, now: float) -> None:
-        count, at = self.seen.get(machine, (0.0, now))
-        self.seen[machine] = count, _ = count * math.exp((at - now) / RATE_SPAN_MS) + 1.0, now
-        span = RATE_SPAN_MS * (1.0 - math.exp((self.start - now) / RATE_SPAN_MS)) + RATE_SPAN_MS / 5
-        if warm:
-            self.kept[machine] = count / span / warm
-
-    def rate(self, machine: int, listed: int) -> float:
-        """Triggers per ms. Danger: a restarted front end has no history; then the customers' shares,
-        which the fleet can carry, are split evenly over front ends and executors, and halved."""
-        return max(self.kept.get(machine, 0.0), 0.5 * self.told_rate / max(1, listed))
+        mixed = ((self.salt ^ e.salt) * MIX) & 0xFFFFFFFFFFFFFFFF
+        return ((mixed ^ (mixed >> 29)) * MIX) & 0xFFFFFFFFFFFFFFFF
 
 
 class Gate:
     """The five rules, at the one place that every transmission, order and final answer passes."""
 
-    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, usual: Usual) -> None:
-        self.permits, self.cold, self.ration, self.usual = permits, cold, ration, usual
+    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, told_rate: float,
+                 chance: random.Random, start: float) -> None:
+        self.permits, self.cold, self.ration = permits, cold, ration
+        self.told_rate, self.chance, self.start = told_rate, chance, start
+        self.seen: dict[int, tuple[float, float]] = {}  # machine kind -> decayed count of fulfilled, time
+        self.usual: dict[int, float] = {}  # what a warm one of the kind carries of our triggers, a ms
         self.taken, self.ordered = deque[float](), deque[float]()
 
     def send(self, t: Trigger, e: Executor, listed: int, now: float) -> bool:
@@ -175,7 +156,7 @@
             return False
         if (t.ran or t.out) and not self._repeat(t, e.listing, now):
             return False
-        return self._warm_enough(e, listed, now)
+        return self._warm_enough(t, e, listed, now)
 
     def _repeat(self, t: Trigger, at: Listing, now: float) -> bool:
         """Rule 2: a trigger that may have run goes out again only where that does no harm."""
@@ -191,36 +172,51 @@
                 return False
         return True
 
+    def carried(self, kind: int, warm: int, now: float) -> None:
+        count, at = self.seen.get(kind, (0.0, now))
+        self.seen[kind] = count, _ = count * math.exp((at - now) / RATE_SPAN_MS) + 1.0, now
+        span = RATE_SPAN_MS * (1.0 - math.exp((self.start - now) / RATE_SPAN_MS)) + RATE_SPAN_MS / 5
+        if warm:
+            self.usual[kind] = count / span / warm
+
     def is_cold(self, e: Executor, now: float) -> bool:
         return now < e.listing.started_ms + self.cold.warm_ms
 
-    def _warm_enough(self, e: Executor, listed: int, now: float) -> bool:
+    def _warm_enough(self, t: Trigger, e: Executor, listed: int, now: float) -> bool:
         """Rule 4: the sum over all front ends is unknown, but if each stays under the least present
-        share of what it usually sends to a warm executor of the kind, so does the sum."""
+        share of what it usually sends to a warm executor of the kind, so does the sum. Danger: a
+        front end whose share is a fraction of one trigger rounds up, and hundreds do so in the same
+        moment; there a trigger's luck decides as well, and the first share starts at a chance phase."""
         if not self.is_cold(e, now):
             return True
         cold = self.cold
         grown = max(0.0, now - e.listing.started_ms) / cold.warm_ms
-        share = cold.start_share + (1.0 - cold.start_share) * grown
-        rate = COLD_MARGIN * cold.multiple * share * self.usual.rate(e.listing.machine, listed)
+        part = COLD_MARGIN * cold.multiple * (cold.start_share + (1.0 - cold.start_share) * grown)
+        # danger: a restarted front end has no history; then the customers' shares, which the fleet can
+        # carry, are split evenly over front ends and executors, and halved
+        rate = part * max(self.usual.get(e.listing.machine, 0.0), 0.5 * self.told_rate / max(1, listed))
         if rate <= 0.0:
             return False
         span = max(cold.span_ms, 1.0 / rate)
+        if span > cold.span_ms:
+            span /= COLD_LUCK
+            if not e.cold_sends:
+                e.cold_sends.append(now - self.chance.random() * span)
+            if t.luck > COLD_LUCK * part:
+                return False
         recent = sum(1 for at in e.cold_sends if at > now - span)
         return recent + 1 <= rate * span + 1e-9
 
-    def order(self, e: Executor, kept: float, now: float) -> bool:
-        return e.listing.stage is Stage.READY and self.orders_left(now) >= 1.0 + kept  # rules 3, 5
-
-    def orders_left(self, now: float) -> float:
+    def order(self, e: Executor, now: float) -> bool:
         ration = self.ration
-        if ration.window_ms <= 0.0:
-            return math.inf
+        if e.listing.stage is not Stage.READY:  # rule 3
+            return False
         while self.ordered and self.ordered[0] < now - ration.window_ms - RATION_EDGE_MS:
             self.ordered.popleft()
         while self.taken and self.taken[0] < now - ration.window_ms + RATION_EDGE_MS:
             self.taken.popleft()
-        return ration.free + ration.share * len(self.taken) - len(self.ordered)
+        left = ration.free + ration.share * len(self.taken) - len(self.ordered)
+        return ration.window_ms <= 0.0 or left >= 1.0  # rule 5
 
     def nack(self, t: Trigger) -> bool:
         """Rule 2: a nack says that a repeat does no harm."""
@@ -235,25 +231,27 @@
     def __init__(self, now: float, seed: int, place: Place, tariffs: list[Tariff], customers: list[Customer],
                  permits: Permits, keeping: Keeping, cold: ColdRule, ration: LoadRation) -> None:
         self.chance = random.Random(seed)
-        self.place, self.customers = place, customers
-        self.demand: dict[int, list[float]] = {}  # customer -> decayed count, time
+        self.told_rate = sum(c.rate for c in customers) / 1000.0  # of all front ends, a ms
         self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
-        self.usual = Usual(now, customers, place.peers)
-        self.gate = Gate(permits, cold, ration, self.usual)
+        self.gate = Gate(permits, cold, ration, self.told_rate / max(1, place.peers), self.chance, now)
         self.executors: dict[int, Executor] = {}
         self.ready: list[Executor] = []
+        self.lists = 0  # changes of the list of executors
+        self.warm: dict[int, int] = {}  # machine kind -> warm executors ready
         self.triggers: dict[int, Trigger] = {}
         self.functions: dict[int, Function] = {}
         self.attention: deque[int] = deque()
         self.due: list[tuple[float, int]] = []  # when to look at a trigger; -1: tidy up
         self.wake_ms = math.inf
+        self.stall_ms = -math.inf  # when the last stall of this front end itself was noticed
         self.wanted: deque[tuple[Executor, Function]] = deque()
         self.seconds = SECOND_SAVED
+        self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers in flight, in a sparse view
+        self.asked, self.asked_ms, self.start, self.out = 0.0, now, now, 0
         self.mean_ms = self.mean_size = UNHEARD_SIZE_MS
-        self.load_mean_ms = UNHEARD_LOAD_MS
-        self.median_pace = 1.0
+        self.kind_pace: dict[int, float] = {}
         self.free = Released([], [], [])
-        heapq.heappush(self.due, (now + TIDY_MS, -1))
+        heapq.heappush(self.due, (now + TIDY_MS * self.chance.random(), -1))
 
     def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
         named = set()
@@ -264,62 +262,56 @@
                 self.executors[listing.executor] = Executor(listing, now)
                 continue
             if listing.started_ms > e.listing.started_ms:
+                self._unskilled(e, *map(self.functions.__getitem__, e.resume))
                 e.restart(listing)
-            if listing.stage is not e.listing.stage:
-                e.told_ms = now
+            e.told_ms = e.told_ms if listing.stage is e.listing.stage else now
             e.listing = listing
         if complete:
             for index, e in self.executors.items():
                 if index not in named and e.listing.stage is not Stage.GONE:
-                    e.listing = e.listing._replace(stage=Stage.GONE)
-                    e.told_ms = now
+                    e.listing, e.told_ms = e.listing._replace(stage=Stage.GONE), now
         self.ready = [e for e in self.executors.values() if e.listing.stage is Stage.READY]
+        self.lists += 1
         for f in self.functions.values():
             self.attention.extend(f.held)
 
     def function_named(self, now: float, function: int, stable: str, memory_mb: float, lanes: int,
                        load_ms: float) -> None:
         """Once for each index, before the function's first trigger."""
-        f = self.functions[function] = Function(function, stable, lanes, load_ms)
-        f.used_ms = now
+        self.functions[function] = Function(function, stable, lanes, load_ms, now)
 
     def trigger_taken(self, now: float, trigger: int, tariff: int, customer: int, function: int,
                       remaining_ms: float, work_ms: float, repeat: bool) -> None:
         f = self.functions[function]
-        f.used_ms = now
         size = work_ms or f.mean_ms or self.mean_ms
         self.mean_size += 0.02 * (size - self.mean_size)
-        t = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms)
+        self.asked = self.asked * math.exp((self.asked_ms - now) / ASKED_SPAN_MS) + size
+        f.asked = f.asked * math.exp((f.used_ms - now) / ASKED_SPAN_MS) + size
+        self.asked_ms = f.used_ms = now
+        t = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms, repeat,
+                    self.chance.random())
         self.triggers[trigger] = t
         self.gate.taken.append(now)
-        seen = self.demand.setdefault(customer, [0.0, now])
-        t.repeat = repeat
-        seen[:] = seen[0] * math.exp((seen[1] - now) / DEMAND_SPAN_MS) + (not repeat), now
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
 
     def transmission_ended(self, now: float, trigger: int, number: int, outcome: Outcome, took_ms: float,
-                           finished: bool, warmth: Warmth, crowd: int, report: Mapping[str, float]) -> None:
+                           finished: bool, warmth: Warmth) -> None:
         t = self.triggers.get(trigger)
         sent = t.out.pop(number, None) if t else None
         if t is None or sent is None:
             return
-        e = sent.executor
-        e.out.pop((trigger, number), None)
-        e.busy -= sent.busy
+        e, f = sent.executor, t.function
+        del e.out[trigger, number]
+        self.out, e.busy = self.out - (not sent.overdue), e.busy - sent.busy
         if not self.keeping.answers_miss:
-            e.orders.pop(t.function.index, None)
-        f = t.function
-        e.lanes_used[f.index] -= 1
-        if not e.lanes_used[f.index]:
-            del e.lanes_used[f.index]
+            e.orders.pop(f.index, None)
         if outcome not in NEVER_RAN:
             t.ran.append((e.listing.hall, e.listing.cell, sent.sent_ms))
         t.answered = t.answered or finished
         if sent.sent_ms >= e.listing.started_ms or not e.listing.started_ms:
             self._learn(now, t, sent, outcome, took_ms, warmth)
-            self._reported(e, report, now)
         if outcome not in (Outcome.FULFILLED, Outcome.WITHDRAWN, Outcome.MISS):
             t.tried.add(e.listing.executor)
         self.attention.append(trigger)
@@ -327,62 +319,77 @@
     def _learn(self, now: float, t: Trigger, sent: Transmission, outcome: Outcome, took_ms: float,
                warmth: Warmth) -> None:
         e, f = sent.executor, t.function
-        if outcome in (Outcome.FULFILLED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            e.heard_ms = now
-            e.overdue.clear()
         if outcome is Outcome.FULFILLED:
-            e.errors *= 1.0 - ERROR_GAIN
-            skill = e.resume.setdefault(f.index, Skill(now))
-            skill.seen_ms = now
+            self._skilled(e, f, now)
+            e.refused.pop(t.customer, None)
+            if self._untimely(now):  # danger: the time of an own stall proves nothing against executors
+                return
             if warmth in (Warmth.FOUND, Warmth.UNTOLD):
                 self._paced(e, t, took_ms, now)
             elif warmth is Warmth.BEGAN:
-                self._load_seen(f, took_ms - t.size * (e.pace or self.median_pace))
+                self._load_seen(f, took_ms - t.size * self.pace(e, now))
         elif outcome is Outcome.MISS:
-            e.resume.pop(f.index, None)
+            self._unskilled(e, f)
+            t.missed.add(e.listing.executor)
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
                 self.wanted.append((e, f))
         elif outcome is Outcome.FULL:
-            e.full_until = now + FULL_REST_MS
-        elif outcome is Outcome.ERROR and warmth is not Warmth.LOAD_FAILED:
-            e.errors += ERROR_GAIN * (1.0 - e.errors)  # danger: one that fails fast looks idle
-        elif outcome in (Outcome.UNREACHABLE, Outcome.RESET):
-            e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
-        e.ill = e.errors > (WELL_ERRORS if e.ill else AILING_ERRORS)
+            # danger: some refuse one customer only, and slowly; that says nothing of the rest
+            if took_ms > REFUSED_MS and not self._untimely(now):
+                e.refused[t.customer] = now + REFUSED_REST_MS
+        elif outcome not in (Outcome.WITHDRAWN, Outcome.UNSENT) and warmth is not Warmth.LOAD_FAILED:
+            self._doubted(e, now)  # danger: one that fails fast looks idle
+
+    def _doubted(self, e: Executor, now: float) -> None:
+        """Evidence against an executor, whatever the cause: silence, errors, no connection. It counts as
+        a slow answer; one piece proves little, since a load or a dear trigger looks the same."""
+        most = FAILED * AILING_PACE * self.kind_pace.get(e.listing.machine, 1.0)
+        e.pace, e.paced_ms = min(FAILED * self.pace(e, now), most), now
+
+    def _skilled(self, e: Executor, f: Function, now: float) -> None:
+        e.resume[f.index] = now
+        f.skilled[e.listing.executor] = e
+
+    def _unskilled(self, e: Executor, *functions: Function) -> None:
+        for f in functions:
+            e.resume.pop(f.index, None)
+            f.skilled.pop(e.listing.executor, None)
+
+    def _untimely(self, now: float) -> bool:
+        if now > self.wake_ms + STALL_MS:
+            self.stall_ms = now
+        return self.stall_ms == now
 
     def _paced(self, e: Executor, t: Trigger, took_ms: float, now: float) -> None:
         f = t.function
-        pace = took_ms / max(1.0, t.size)
-        e.pace = e.pace or min(pace, self.median_pace * PACE_CLIP)
-        gain = PACE_GAIN if e.pace < AILING_PACE * self.median_pace else 0.5  # on trial: re-read fast
+        pace, kind = took_ms / max(1.0, t.size), e.listing.machine
+        usual = self.kind_pace.setdefault(kind, pace)
+        self.kind_pace[kind] = usual * (1.0 + (KIND_RISE if pace > usual else -KIND_FALL))
+        e.pace, e.paced_ms = self.pace(e, now) if e.pace else min(pace, PACE_CLIP * usual), now
+        gain = PACE_GAIN if e.pace < AILING_PACE * usual else 0.5  # re-read fast
         e.pace += gain * (min(pace, e.pace * PACE_CLIP) - e.pace)
         if e.pace * self.mean_size > CROWDED * t.tariff.quoted_ms:
-            self._cut(e, now)
+            self._cut(e, e.busy, now)
         elif e.busy + 1 >= e.limit:
             e.limit += LIMIT_GROW / e.limit
+        if took_ms > LATE * t.tariff.quoted_ms and pace > SLOWED * self.kind_pace[kind]:
+            self._cut(self, self.out, now)
+        elif self.out + 1 >= self.limit:
+            self.limit += LIMIT_GROW / self.limit
         took = min(took_ms, PACE_CLIP * (f.mean_ms or self.mean_ms))
         f.mean_ms = f.mean_ms + PACE_GAIN * (took - f.mean_ms) if f.mean_ms else took
         self.mean_ms += 0.02 * (took - self.mean_ms)
         if not self.gate.is_cold(e, now):
-            kind = e.listing.machine
-            warm = sum(1 for x in self.ready if x.listing.machine == kind and not self.gate.is_cold(x, now))
-            self.usual.fulfilled(kind, warm, now)
+            self.gate.carried(kind, self.warm.get(kind, 0), now)
 
-    def _cut(self, e: Executor, now: float) -> None:
+    def _cut(self, holder: Executor | FrontEnd, busy: int, now: float) -> None:
         """Danger: in an overload all is answered late; less in flight, and in time, is worth more."""
-        if now > e.cut_ms + self.mean_ms:
-            e.limit, e.cut_ms = max(LIMIT_LEAST, LIMIT_CUT * min(e.limit, e.busy + 1.0)), now
+        if now > holder.cut_ms + self.mean_ms:
+            holder.limit = max(LIMIT_LEAST, LIMIT_CUT * min(holder.limit, busy + 1.0))
+            holder.cut_ms = now
 
     def _load_seen(self, f: Function, took_ms: float) -> None:
-        if took_ms > 0.0:
-            self.load_mean_ms += 0.1 * (min(took_ms, 5 * self.load_mean_ms) - self.load_mean_ms)
-            f.load_ms = f.load_ms + 0.3 * (took_ms - f.load_ms) if f.load_ms else took_ms
-
-    def _reported(self, e: Executor, report: Mapping[str, float], now: float) -> None:
-        if report:
-            e.others, e.report_ms = report.get("queue", 0.0), now
-            if "inflight" in report:
-                e.others = max(0.0, report["inflight"] - len(e.out))
+        f.load_ms += LOAD_GAIN * (min(max(0.0, took_ms), PACE_CLIP * f.load_ms) - f.load_ms)
 
     def order_answered(self, now: float, executor: int, function: int, outcome: Outcome, copies: int,
                        took_ms: float) -> None:
@@ -391,24 +398,17 @@
             return
         e.orders.pop(function, None)
         if outcome is Outcome.FULFILLED and copies > 0:
-            e.resume[function] = Skill(now, copies)
+            self._skilled(e, f, now)
             self._load_seen(f, took_ms)
-        elif outcome is Outcome.FULL:
-            e.full_until = now + FULL_REST_MS
-        elif outcome in (Outcome.UNREACHABLE, Outcome.RESET, Outcome.TIMEOUT):
-            e.errors += 2 * ERROR_GAIN * (1.0 - e.errors)
         self.attention.extend(f.held)
 
-    def probe_answered(self, now: float, executor: int, report: Mapping[str, float]) -> None:
-        if executor in self.executors:
-            self._reported(self.executors[executor], report, now)
-
     def client_gone(self, now: float, trigger: int) -> None:
-        if trigger in self.triggers:
-            self.triggers[trigger].answered = True
+        if t := self.triggers.get(trigger):
+            t.answered = True
             self.attention.append(trigger)
 
     def time_passed(self, now: float) -> None:
+        self._untimely(now)
         self.wake_ms = math.inf
 
     def decide(self, now: float) -> Decision | None:
@@ -421,7 +421,7 @@
                 self._tidy(now)
                 heapq.heappush(self.due, (now + TIDY_MS, -1))
         while self.wanted:
-            decision = self._order(*self.wanted.popleft(), 1, now)
+            decision = self._order(*self.wanted.popleft(), now)
             if decision is not None:
                 return decision
         while self.attention:
@@ -441,14 +441,14 @@
 
     def _for_trigger(self, t: Trigger, now: float) -> Decision | None:
         if t.answered:
-            t.function.held.pop(t.index, None)
             return self._withdraw(t)
-        if now >= t.answer_by:
+        if now >= t.answer_by or not t.out and t.sent >= self.permits.transmissions:
             return self._give_up(t)
         return self._second(t, now) if t.out else self._place(t, now)
 
     def _withdraw(self, t: Trigger) -> Decision | None:
         """Nobody waits for these transmissions any more: spare the executors the work."""
+        t.function.held.pop(t.index, None)
         for sent in t.out.values():
             if not sent.withdrawn and self.permits.withdraw:
                 sent.withdrawn = True
@@ -466,105 +466,110 @@
 
     def _place(self, t: Trigger, now: float) -> Decision | None:
         f = t.function
-        if t.sent >= self.permits.transmissions:
-            return self._give_up(t)
-        able = self._able(t, now)
-        e = self.choose(f, able, now) if able else None
-        spent = not able and t.ran and t.tariff.effect is not Effect.HARMLESS
-        if e is None and (spent or self._hopeless(t, now)):
+        # danger: with few own triggers at each executor no limit there can hold an overload off
+        shut = not t.sent and self.out >= self.limit and self.view(now) < SPARSE
+        e = None if shut else self.choose(t, now)
+        spent = e is None and t.ran and t.tariff.effect is not Effect.HARMLESS
+        if e is None and (spent or self._hopeless(t, now) and not self._loading(f)):
             return self._give_up(t)  # no place in time, or nothing may be sent again: say so now
-        missing = self.keeping.answers_miss and e is not None and f.index not in e.resume
-        if e is None or missing and self._loading(f, now):  # wait for the order rather than miss again
+        if e is not None and self.keeping.answers_miss and f.index not in e.resume:
+            if f.index in e.orders or t.missed and self._loading(f):
+                e = None  # wait for the order rather than miss again
+        if e is None:
             f.held[t.index] = None
             heapq.heappush(self.due, (now + LOOK_AGAIN_MS, t.index))
             return None
         return self._send(t, e, now)
 
     def _hopeless(self, t: Trigger, now: float) -> bool:
-        """No place: what is beyond a customer's share goes first, then what has waited too long."""
-        if not self.ready:
+        """No place: a client's repeat and what can't be in time give way, then what has waited too long."""
+        late = now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
+        least = min(self.kind_pace.values(), default=1.0)
+        return bool(self.ready) and (t.repeat or late or t.size * least > LATE * t.tariff.quoted_ms)
+
+    def _loading(self, f: Function) -> bool:
+        return any(f.index in e.orders for e in self.ready)
+
+    def _fit(self, t: Trigger, e: Executor, now: float) -> bool:
+        """Whether the rules allow it, and nothing speaks against this executor for this trigger."""
+        index, known = e.listing.executor, t.function.index in e.resume
+        if e.busy >= e.limit or now < e.refused.get(t.customer, now) or index in t.tried:
+            return False
+        if index in t.missed and not known or any(x.executor is e for x in t.out.values()):
             return False
-        if t.customer < len(self.customers):
-            customer, seen = self.customers[t.customer], self.demand[t.customer][0]
-            rate = seen / DEMAND_SPAN_MS * 1000.0 * self.place.peers
-            # both ways to look at it: front ends may differ much in size
-            more = seen > OVER_SHARE * customer.portion * sum(d[0] for d in self.demand.values())
-            if more and 0.0 < OVER_SHARE * customer.rate < rate:
-                return True
-        return t.repeat or now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
-
-    def _loading(self, f: Function, now: float) -> bool:
-        return any(self._under_way(e, f, now) for e in self.ready)
-
-    def _under_way(self, e: Executor, f: Function, now: float) -> bool:
-        at = e.orders.get(f.index)
-        return at is not None and now < at + ORDER_LATE * (f.load_ms or self.load_mean_ms)
-
-    def _able(self, t: Trigger, now: float) -> list[Executor]:
-        """Executors that the rules allow, the well ones first: one that ails takes one trigger a while."""
-        out = {x.executor for x in t.out.values()}
-        allowed = [e for e in self.ready if e not in out and self.gate.send(t, e, len(self.ready), now)]
-        allowed = [e for e in allowed if e.listing.executor not in t.tried] or allowed
-        well = [e for e in allowed if not self.ailing(e, now)]
-        if t.tariff.effect is Effect.HARMLESS and not t.sent:
-            for e in allowed:
-                if now >= e.trial_at and self.ailing(e, now) and well:
-                    return [e]
-        return well or allowed
-
-    def ailing(self, e: Executor, now: float) -> bool:
-        """Told by symptoms: silence, errors, or answers far slower than the fleet's."""
-        return e.ill or e.pace > AILING_PACE * self.median_pace or len(e.overdue) >= AILING_OVERDUE
-
-    def choose(self, f: Function, able: list[Executor], now: float) -> Executor | None:
+        return self.gate.send(t, e, len(self.ready), now)
+
+    def view(self, now: float) -> float:
+        """Own triggers in flight for each executor, on a day without waiting."""
+        span = ASKED_SPAN_MS * (1.0 - math.exp((self.start - now - TIDY_MS) / ASKED_SPAN_MS))
+        return self.asked / span / max(1, len(self.ready))
+
+    def homes(self, f: Function, now: float) -> int:
+        """How many executors by the shared rank count as skilled unseen: the function's share of the fleet
+        or of its lanes, where own triggers are too few to tell. Danger: each guess too many costs a load."""
+        share = (f.asked - math.sqrt(f.asked * self.mean_size)) / (self.asked + ASKED_PRIOR * self.mean_size)
+        lanes = self.told_rate * self.mean_ms / (LANES_FILLED * f.lanes)
+        seen = 1.0 + OWN_VIEW * self.view(now)
+        return max(not f.skilled, int(share * max(SPREAD * len(self.ready), lanes) / seen))
+
+    def choose(self, t: Trigger, now: float) -> Executor | None:
         """The design page: the skilled executor with the least weighted backlog; one is passed over only
         with no free lane by our count and past variance x mean; else overflow to an unskilled one."""
-        load = {e: self.backlog(e, now) for e in self.ready}
-        weight = {e: (load[e], self.chance.random()) for e in able}
-        mean = sum(load.values()) / len(load)
-        limit = VARIANCE * max(mean, self.mean_size * self.median_pace)
-        open_to = [e for e in able if now >= e.full_until and e.busy < e.limit]
-        skilled = [e for e in open_to if f.index in e.resume]
-        kept = [e for e in skilled if self.free_lane(e, f) or weight[e][0] <= limit]
+        f = t.function
+        if f.order_of != self.lists:
+            f.order, f.order_of = sorted(self.ready, key=f.rank, reverse=True), self.lists
+        homes = dict.fromkeys((*f.skilled.values(), *f.order[:self.homes(f, now)]))
+        skilled = [e for e in homes if self._fit(t, e, now)]
+        mean = self.out / max(1, len(self.ready)) * self.mean_ms
+        limit = VARIANCE * max(mean, self.mean_ms)
+        sparse = self.view(now) < SPARSE  # danger: then our counts of what is in flight tell nothing
+        kept = [e for e in skilled if not sparse and sum(x.function is f for x in e.out.values()) < f.lanes
+                or self.backlog(e, now) + sparse * self.pace(e, now) * self.mean_size <= limit]
         if kept:
-            return min(kept, key=weight.__getitem__)
-        known = any(f.index in e.resume for e in able)
+            return min(kept, key=lambda e: (self._expected(e, t, now), self.chance.random()))
         # danger: in an overload every function would overflow at once, and the loads make all slower
-        loads = sum(len(e.orders) for e in self.ready)
-        quiet = len(open_to) >= OPEN_SHARE * len(able) and loads < LOADS_SHARE * len(able)
-        if not known or (quiet and not self._loading(f, now)):
-            unskilled = [e for e in open_to if f.index not in e.resume]
-            calm = [e for e in unskilled if weight[e][0] <= (mean if known else limit)]
-            if calm:  # the page leaves the executor of a new load open: the shared rank picks it
-                return max(calm, key=lambda e: f.rank(e.listing.stable))
-            if not known:
-                skilled = unskilled
-        return min(skilled, key=weight.__getitem__, default=None)
+        n = len(self.ready)
+        closed = sum(e.busy >= e.limit for e in self.ready) > CLOSED_SHARE * n
+        loads = sum(len(e.orders) for e in self.ready) >= LOADS_SHARE * n or self._loading(f)
+        if not f.skilled or not closed and not loads:
+            for e in f.order:  # the page leaves the executor of a new load open: the shared rank picks it
+                calm = self.backlog(e, now) <= (mean if f.skilled else limit)
+                if e not in homes and calm and self._fit(t, e, now):
+                    return e
+        return min(skilled, key=lambda e: (self._expected(e, t, now), self.chance.random()), default=None)
+
+    def _expected(self, e: Executor, t: Trigger, now: float) -> float:
+        """The weighted backlog with this trigger, and the load that it would wait for."""
+        load_ms = t.function.load_ms if t.function.index in e.orders else 0.0
+        return self.backlog(e, now) + self.pace(e, now) * t.size + load_ms
+
+    def pace(self, e: Executor, now: float) -> float:
+        """What was seen fades to the machine kind's pace, which an unheard executor takes."""
+        usual = self.kind_pace.get(e.listing.machine, 1.0)
+        return usual + (e.pace - usual) * math.exp((e.paced_ms - now) / PACE_SPAN_MS) if e.pace else usual
 
     def backlog(self, e: Executor, now: float) -> float:
-        """In flight times the average time of a trigger, in ms; others' triggers as reported."""
-        fresh = max(0.0, 1.0 - (now - e.report_ms) / REPORT_LIFE_MS)
-        return (len(e.out) + e.others * fresh) * (e.pace or self.median_pace) * self.mean_size
-
-    def free_lane(self, e: Executor, f: Function) -> bool:
-        return e.lanes_used.get(f.index, 0) < f.lanes * e.resume[f.index].copies
+        """In flight times the average time of a trigger, in ms."""
+        return len(e.out) * self.pace(e, now) * self.mean_size
 
     def _send(self, t: Trigger, e: Executor, now: float) -> Decision | None:
         f = t.function
-        if not self.gate.send(t, e, len(self.ready), now):
+        if not self.gate.send(t, e, len(self.ready), now):  # whatever chose it
             return None
-        skilled = f.index in e.resume
-        if self.ailing(e, now):
-            e.trial_at = now + TRIAL_MS
-        load_ms = 0.0 if skilled else f.load_ms or self.load_mean_ms
-        expected = t.size * (e.pace or self.median_pace) + load_ms
-        due_ms = now + OVERDUE_FACTOR * expected + OVERDUE_SLACK_MS
-        sent = Transmission(t.sent, e, now, due_ms)
+        skilled = f.index in e.resume and f.index not in e.orders
+        load_ms = 0.0 if skilled else f.load_ms
+        expected = t.size * self.pace(e, now)
+        due_ms = now + OVERDUE_FACTOR * (expected + load_ms) + OVERDUE_SLACK_MS
+        if skilled:  # while another one could still be in time
+            due_ms = min(due_ms, max(now + OVERDUE_LEAST * expected, t.quoted_by - 1.5 * expected))
+        # danger: a stamped one that waits for a load may end as never run, and still binds what is beside it
+        t.ran.extend((x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values())
+        sent = Transmission(t.sent, e, f, now, due_ms)
         t.out[t.sent] = e.out[(t.index, t.sent)] = sent
-        e.lanes_used[f.index] = e.lanes_used.get(f.index, 0) + 1
+        self.out += 1
         t.sent += 1
-        if not self.keeping.answers_miss and not skilled:
-            e.resume[f.index] = Skill(now)  # it takes the trigger and gains the skill
+        if not self.keeping.answers_miss and f.index not in e.resume:
+            self._skilled(e, f, now)  # it takes the trigger and gains the skill
             e.orders[f.index] = now
         sent.busy = f.index not in e.orders
         e.busy += sent.busy
@@ -576,46 +581,34 @@
 
     def _second(self, t: Trigger, now: float) -> Decision | None:
         """A further transmission beside one that is overdue, if the budget has one."""
-        latest = None
-        for sent in t.out.values():
-            if now >= sent.due_ms and not sent.overdue:
-                sent.overdue = True
-                if sent.sent_ms >= sent.executor.heard_ms:
-                    sent.executor.overdue.add(t.function.index)
-                    if len(sent.executor.overdue) == AILING_OVERDUE:  # silent: look at all it holds at once
-                        self.attention.extend(index for index, _ in sent.executor.out)
-            silent = len(sent.executor.overdue) >= AILING_OVERDUE and sent.sent_ms >= sent.executor.heard_ms
-            sent.overdue |= silent and now > sent.sent_ms + OVERDUE_SLACK_MS
-            latest = sent
-        if latest is None or len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
+        for latest in t.out.values():
+            if now >= latest.due_ms and not latest.overdue:
+                latest.overdue = True
+                self.out -= 1  # written off: what hangs must not keep the rest from being sent
+                if not self._untimely(now):  # danger: it takes triggers and answers none
+                    self._doubted(latest.executor, now)
+        if len(t.out) > 1 or not latest.overdue or self.seconds < 1.0:
+            return None
+        e = self.choose(t, now)
+        if e is None or t.function.index not in e.resume:  # only a warm copy is worth it
             return None
-        able = self._able(t, now)
-        if not self.ailing(latest.executor, now):  # only a warm copy is worth it
-            able = [e for e in able if t.function.index in e.resume]
-        e = self.choose(t.function, able, now) if able else None
-        self.seconds -= e is not None
-        return self._send(t, e, now) if e is not None else None
-
-    def _order(self, e: Executor, f: Function, copies: int, now: float) -> Decision | None:
-        kept = ORDERS_KEPT if any(f.index in x.resume for x in self.ready) else 0.0
-        most = len(e.orders) >= ORDERS_PER_EXECUTOR
-        if most or self._under_way(e, f, now) or not self.gate.order(e, kept, now):
+        self.seconds -= 1.0
+        return self._send(t, e, now)
+
+    def _order(self, e: Executor, f: Function, now: float) -> Decision | None:
+        if len(e.orders) >= ORDERS_PER_EXECUTOR or f.index in e.orders or not self.gate.order(e, now):
             return None
         e.orders[f.index] = now
         self.gate.ordered.append(now)
-        return Decision(Verb.ORDER, executor=e.listing.executor, function=f.index, number=copies)
+        return Decision(Verb.ORDER, executor=e.listing.executor, function=f.index, number=1)
 
     def _tidy(self, now: float) -> None:
-        """Forget what is stale, so that memory stays bounded."""
-        paces = sorted(e.pace for e in self.ready if e.pace)
-        if paces:
-            self.median_pace = paces[len(paces) // 2]
+        """Forget what is stale, so that memory stays bounded; renew what is counted over the fleet."""
+        self.warm = dict(Counter(e.listing.machine for e in self.ready if not self.gate.is_cold(e, now)))
         for e in self.executors.values():
-            idle = [i for i, s in e.resume.items()
-                    if now - s.seen_ms > self.keeping.least_keep_ms and i not in e.lanes_used]
-            for index in idle:
-                del e.resume[index]
-            e.orders = {i: at for i, at in e.orders.items() if now < at + 2 * self.keeping.order_timeout_ms}
+            for index in [i for i, at in e.resume.items()
+                          if now - at > self.keeping.least_keep_ms]:
+                self._unskilled(e, self.functions[index])
             while e.cold_sends and now - e.cold_sends[0] > 2 * self.gate.cold.warm_ms:
                 e.cold_sends.popleft()
         busy = {t.function.index for t in self.triggers.values()}
@@ -623,6 +616,8 @@
         gone = [i for i, e in self.executors.items() if e.listing.stage is Stage.GONE and not e.out
                 and now > e.told_ms + self.keeping.order_timeout_ms]
         old = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
+        for e in map(self.executors.__getitem__, gone):
+            self._unskilled(e, *map(self.functions.__getitem__, e.resume))
         for known, stale, free in ((self.executors, gone, self.free.executors),
                                    (self.functions, old, self.free.functions)):
             for index in stale:
