--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -23,7 +23,7 @@
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
 PACE_GAIN = 0.15  # weight of one answer in an executor's pace (latency over size); clipped at PACE_CLIP
 PACE_SPAN_MS = 30000.0  # and more if the present pace is old against this
-KIND_RISE, KIND_FALL = 0.003, 0.01  # an answer moves its machine kind's usual pace by this: a low quantile
+KIND_RISE, KIND_FALL = 0.003, 0.01  # an answer moves its kind's usual pace by this: a low quantile
 PACE_CLIP = 4.0  # one dear trigger counts at most as this many times the present pace
 UNHEARD_SIZE_MS = 200.0  # size of a trigger before any answer or hint
 UNHEARD_LOAD_MS = 1000.0  # time of a load before one was seen
@@ -58,7 +58,6 @@
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 LATE = 0.8  # answers slower than this share of the quoted time: the fleet has too much to do
-SLOWED = 2.5  # and slower than this times the usual pace: it was the crowd, not the trigger
 CLOSED_SHARE = 0.25  # no overflow while more of the executors than this are crowded
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
 STALL_MS = 100.0  # a wake that comes this late: the front end itself stood still
@@ -127,8 +126,8 @@
         self.mean_ms, self.used_ms, self.asked = 0.0, now, 0.0
         self.held: dict[int, None] = {}  # triggers that wait for a copy
         self.skilled: dict[int, Executor] = {}  # whose resumes have it
-        self.order: list[Executor] = []  # ready ones by rank, as of the list numbered so
-        self.order_of = -1
+        self.order: list[Executor] = []  # ready ones by rank ...
+        self.order_of: list[Executor] | None = None  # ... of the list that was this
 
     def rank(self, e: Executor) -> int:
         """A draw that all front ends share without a word: loads of a function meet at one executor."""
@@ -236,7 +235,6 @@
         self.gate = Gate(permits, cold, ration, self.told_rate / max(1, place.peers), self.chance, now)
         self.executors: dict[int, Executor] = {}
         self.ready: list[Executor] = []
-        self.lists = 0  # changes of the list of executors
         self.warm: dict[int, int] = {}  # machine kind -> warm executors ready
         self.triggers: dict[int, Trigger] = {}
         self.functions: dict[int, Function] = {}
@@ -248,7 +246,7 @@
         self.seconds = SECOND_SAVED
         self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers in flight, in a sparse view
         self.asked, self.asked_ms, self.start, self.out = 0.0, now, now, 0
-        self.mean_ms = self.mean_size = UNHEARD_SIZE_MS
+        self.mean_ms = self.mean_size = self.quick_ms = UNHEARD_SIZE_MS
         self.kind_pace: dict[int, float] = {}
         self.free = Released([], [], [])
         heapq.heappush(self.due, (now + TIDY_MS * self.chance.random(), -1))
@@ -271,7 +269,6 @@
                 if index not in named and e.listing.stage is not Stage.GONE:
                     e.listing, e.told_ms = e.listing._replace(stage=Stage.GONE), now
         self.ready = [e for e in self.executors.values() if e.listing.stage is Stage.READY]
-        self.lists += 1
         for f in self.functions.values():
             self.attention.extend(f.held)
 
@@ -372,13 +369,14 @@
             self._cut(e, e.busy, now)
         elif e.busy + 1 >= e.limit:
             e.limit += LIMIT_GROW / e.limit
-        if took_ms > LATE * t.tariff.quoted_ms and pace > SLOWED * self.kind_pace[kind]:
+        if took_ms > LATE * t.tariff.quoted_ms:
             self._cut(self, self.out, now)
         elif self.out + 1 >= self.limit:
             self.limit += LIMIT_GROW / self.limit
         took = min(took_ms, PACE_CLIP * (f.mean_ms or self.mean_ms))
         f.mean_ms = f.mean_ms + PACE_GAIN * (took - f.mean_ms) if f.mean_ms else took
         self.mean_ms += 0.02 * (took - self.mean_ms)
+        self.quick_ms *= 1.0 + (KIND_RISE if took_ms > self.quick_ms else -KIND_RISE)
         if not self.gate.is_cold(e, now):
             self.gate.carried(kind, self.warm.get(kind, 0), now)
 
@@ -500,9 +498,10 @@
         return self.gate.send(t, e, len(self.ready), now)
 
     def view(self, now: float) -> float:
-        """Own triggers in flight for each executor, on a day without waiting."""
+        """Own triggers in flight for each executor, if all were as quick as the quicker half. Danger: in a
+        jam what is in flight grows, the view looks rich, and the limit that would end the jam is off."""
         span = ASKED_SPAN_MS * (1.0 - math.exp((self.start - now - TIDY_MS) / ASKED_SPAN_MS))
-        return self.asked / span / max(1, len(self.ready))
+        return self.asked / self.mean_size * self.quick_ms / span / max(1, len(self.ready))
 
     def homes(self, f: Function, now: float) -> int:
         """How many executors by the shared rank count as skilled unseen: the function's share of the fleet
@@ -516,8 +515,8 @@
         """The design page: the skilled executor with the least weighted backlog; one is passed over only
         with no free lane by our count and past variance x mean; else overflow to an unskilled one."""
         f = t.function
-        if f.order_of != self.lists:
-            f.order, f.order_of = sorted(self.ready, key=f.rank, reverse=True), self.lists
+        if f.order_of is not self.ready:
+            f.order, f.order_of = sorted(self.ready, key=f.rank, reverse=True), self.ready
         homes = dict.fromkeys((*f.skilled.values(), *f.order[:self.homes(f, now)]))
         skilled = [e for e in homes if self._fit(t, e, now)]
         mean = self.out / max(1, len(self.ready)) * self.mean_ms
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -217,3 +217,18 @@
             e.limit = 0.0
         host.fe.trigger_taken(host.now, 99, 0, 0, 0, 4000.0, 100.0, repeat)
         assert verbs(host.pull()) == expected, repeat
+
+
+def test_a_jam_does_not_make_the_view_rich():
+    """Danger: in a jam slow answers make functions look heavy, and the limit for all own triggers goes off."""
+    host = Host(20)
+    before = []
+    for took in (100.0, 3000.0):
+        for _ in range(60):
+            host.now += 100.0
+            t = host.take(work=0.0)
+            sent = host.pull()
+            host.end(t, Outcome.FULFILLED, executor=sent[0].executor, took=took)
+            host.pull()
+        before.append(host.fe.view(host.now))
+    assert before[1] < 2 * before[0] and host.fe.limit < 8.0
