--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -57,7 +57,8 @@
 LIMIT_GROW = 2.0  # the limit grows by this in the time of an answer
 HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
-LATE = 0.8  # answers slower than this share of the quoted time: the fleet has too much to do
+LATE = 0.8  # answers slower than this share of the quoted time: the fleet has too much to do ...
+SLOWED = 2.5  # ... if slower than this times the usual, where the work was told: else it was a dear trigger
 CLOSED_SHARE = 0.25  # no overflow while more of the executors than this are crowded
 LOADS_SHARE = 0.16  # nor while more own loads than this are under way for each of them
 STALL_MS = 100.0  # a wake that comes this late: the front end itself stood still
@@ -83,7 +84,7 @@
     def __init__(self, index: int, tariff: Tariff, customer: int, function: Function, size: float,
                  now: float, remaining_ms: float, repeat: bool, luck: float) -> None:
         self.index, self.tariff, self.customer = index, tariff, customer
-        self.function, self.size = function, size
+        self.function, self.size, self.work_ms = function, size, 0.0  # 0: no work told
         self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
         self.quoted_by = now + tariff.quoted_ms
         self.out: dict[int, Transmission] = {}
@@ -287,7 +288,7 @@
         self.asked_ms = f.used_ms = now
         t = Trigger(trigger, self.tariffs[tariff], customer, f, size, now, remaining_ms, repeat,
                     self.chance.random())
-        self.triggers[trigger] = t
+        self.triggers[trigger], t.work_ms = t, work_ms
         self.gate.taken.append(now)
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
         self.attention.append(trigger)
@@ -369,7 +370,7 @@
             self._cut(e, e.busy, now)
         elif e.busy + 1 >= e.limit:
             e.limit += LIMIT_GROW / e.limit
-        if took_ms > LATE * t.tariff.quoted_ms:
+        if took_ms > max(LATE * t.tariff.quoted_ms, SLOWED * t.work_ms * usual):
             self._cut(self, self.out, now)
         elif self.out + 1 >= self.limit:
             self.limit += LIMIT_GROW / self.limit
