--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -220,7 +220,7 @@
 
 
 def test_a_jam_does_not_make_the_view_rich():
-    """Danger: in a jam slow answers make functions look heavy, and the limit for all own triggers goes off."""
+    """Danger: in a jam slow answers make functions look heavy, and the own limit goes off."""
     host = Host(20)
     before = []
     for took in (100.0, 3000.0):
