--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -250,6 +250,7 @@
         self.mean_ms = self.mean_size = self.quick_ms = UNHEARD_SIZE_MS
         self.kind_pace: dict[int, float] = {}
         self.free = Released([], [], [])
+        self.at = -1  # the trigger that decide is at
         heapq.heappush(self.due, (now + TIDY_MS * self.chance.random(), -1))
 
     def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
@@ -424,8 +425,10 @@
             if decision is not None:
                 return decision
         while self.attention:
-            t = self.triggers.get(self.attention[0])
+            self.at = self.attention[0]
+            t = self.triggers.get(self.at)
             decision = self._for_trigger(t, now) if t is not None else None
+            self.at = -1
             if decision is not None:
                 return decision
             self.attention.popleft()
@@ -434,6 +437,20 @@
         self.wake_ms = self.due[0][0]
         return Decision(Verb.WAKE, ms=self.wake_ms)
 
+    def failed(self) -> int:
+        """After decide raised: the trigger it was at, for which no more is decided but to withdraw; or -1.
+        Danger: it would raise again at the same one for ever, and all others would go unanswered."""
+        index, self.at = self.at, -1
+        t = self.triggers.get(index)
+        if t is None:
+            return -1
+        self.attention.popleft()
+        t.answered = True
+        t.function.held.pop(index, None)
+        if not t.out:
+            self.attention.append(index)
+        return index
+
     def released(self) -> Released:
         free, self.free = self.free, Released([], [], [])
         return free
--- /dev/null
+++ b/petrelway/commands/fronts.py
@@ -0,0 +1,77 @@
+"""`petrelway serve` and `petrelway check`."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+
+import click
+
+from .. import logs
+from ..settings.front import read_front_end
+from ..settings.reading import SettingsFault
+
+
+def read_or_exit(read, file: str, as_json: bool = False):
+    """What `read` gives for the file; on faults prints them and exits with 2."""
+    try:
+        return read(file)
+    except SettingsFault as fault:
+        if as_json:
+            click.echo(json.dumps({"file": fault.file, "faults": [f._asdict() for f in fault.faults]}))
+        else:
+            click.echo(str(fault), err=True)
+        sys.exit(2)
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="Print the verdict as JSON.")
+def check(file: str, as_json: bool) -> None:
+    """Evaluate and check a front end's settings FILE (Jsonnet)."""
+    found = read_or_exit(read_front_end, file, as_json)
+    if as_json:
+        click.echo(json.dumps({"file": file, "faults": []}))
+    else:
+        click.echo(
+            f"{file}: good: {len(found['tariffs'])} tariffs, {len(found['customers'])} customers, "
+            f"{len(found['functions'])} functions"
+        )
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--policy", default="petrelway", hidden=True, help="A baseline, for rehearsals only.")
+@click.option("--meter", is_flag=True, hidden=True, help="Measure the time spent in decisions.")
+def serve(file: str, policy: str, meter: bool) -> None:
+    """Run a front end with the settings FILE until SIGTERM or SIGINT; what is owed is answered first."""
+    found = read_or_exit(read_front_end, file)
+    from twisted.internet import error, reactor
+
+    from ..front.service import FrontEndService
+    from ..rehearsal.baselines import POLICIES
+
+    wanted = found["log"]
+    try:
+        log = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
+    except OSError as problem:
+        raise click.UsageError(
+            f"{file}: log.file: found {wanted.file!r} ({problem.strerror}); allowed: a file "
+            "that can be written"
+        ) from problem
+    if policy not in POLICIES:
+        raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
+    front = FrontEndService(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
+    try:
+        front.startService()
+    except error.CannotListenError as problem:
+        raise click.UsageError(
+            f"{file}: listen.port: found {found['listen'].port}, which can't be listened on "
+            f"({problem.socketError}); allowed: a free port"
+        ) from problem
+    reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
+    reactor.run()
+
+
+VERBS = [serve, check]
--- a/petrelway/drill/codec.py
+++ b/petrelway/drill/codec.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from base64 import b64encode
-from typing import Any
 
 from ..choice import FrontEnd
+from ..indices import Ids
 from ..interface import (
     ColdRule,
     Customer,
@@ -38,28 +38,6 @@
     """A line that the wire page does not allow, in one plain sentence."""
 
 
-class Ids:
-    """The wire's ids and the small indices that stand for them; freed indices are used anew."""
-
-    def __init__(self) -> None:
-        self.index: dict[Any, int] = {}
-        self.wire: dict[int, Any] = {}
-        self.free: list[int] = []
-
-    def enter(self, wire: Any) -> tuple[int, bool]:
-        """The index of an id, and whether it is new."""
-        if wire in self.index:
-            return self.index[wire], False
-        index = self.free.pop() if self.free else len(self.wire)
-        self.index[wire], self.wire[index] = index, wire
-        return index, True
-
-    def leave(self, indices: list[int]) -> None:
-        for index in indices:
-            del self.index[self.wire.pop(index)]
-            self.free.append(index)
-
-
 def _number(source: dict, key: str, scale: float = 1.0) -> float:
     return float(source.get(key) or 0.0) * scale
 
--- /dev/null
+++ b/petrelway/events/__init__.py
@@ -0,0 +1,1 @@
+"""CloudEvents: the codec, without I/O."""
--- /dev/null
+++ b/petrelway/front/ask.py
@@ -0,0 +1,89 @@
+"""From an event to what the host takes, without I/O: tariff, customer, function, time, hint, repeat."""
+
+from __future__ import annotations
+
+import fnmatch
+import math
+import re
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from ..events.single import Event, EventFault
+from .host import Function
+
+
+class Ask(NamedTuple):
+    tariff: int
+    customer: int
+    function: Function
+    mark: str
+    remaining_ms: float
+    work_ms: float
+    repeat: bool
+
+
+class Catalogue:
+    """The functions that may be called: by name, or by a pattern such as `station-*`, first match."""
+
+    def __init__(self, functions: Sequence[Function]) -> None:
+        self.exact = {f.name: f for f in functions if not set(f.name) & set("*?[")}
+        self.patterns = [
+            (re.compile(fnmatch.translate(f.name)), f) for f in functions if f.name not in self.exact
+        ]
+
+    def find(self, name: str) -> Function | None:
+        if (f := self.exact.get(name)) is not None:
+            return f
+        for pattern, f in self.patterns:
+            if pattern.match(name):
+                return f._replace(name=name)
+        return None
+
+
+class Asks:
+    """Reads asks from events, by the names that the settings give. Raises EventFault (status 400 or 422)."""
+
+    def __init__(self, tariffs: Mapping[str, float], customers: Sequence[str], catalogue: Catalogue) -> None:
+        self.tariffs = {name: (i, outer_ms) for i, (name, outer_ms) in enumerate(tariffs.items())}
+        self.customers = {name: i for i, name in enumerate(customers)}
+        self.catalogue = catalogue
+
+    def read(self, event: Event) -> Ask:
+        told = event.attributes
+        name = told.get("tariff", "")
+        if name not in self.tariffs:
+            raise EventFault(422, "tariff", repr(name), "one of " + ", ".join(self.tariffs))
+        tariff, outer_ms = self.tariffs[name]
+        name = told.get("customer", "")
+        if self.customers and name not in self.customers:
+            raise EventFault(422, "customer", repr(name), "one that the settings list")
+        customer = self.customers.get(name, 0)
+        name = told.get("function", "")
+        function = self.catalogue.find(name) if name else None
+        if function is None:
+            raise EventFault(422, "function", repr(name), "one that the settings list, by name or pattern")
+        remaining_ms = min(outer_ms, _amount(told, "timeleft", outer_ms))
+        if remaining_ms <= 0.0:
+            raise EventFault(422, "timeleft", told["timeleft"], "more than 0 ms")
+        repeat = told.get("repeat", "false")
+        if repeat not in ("true", "false"):
+            raise EventFault(400, "repeat", repr(repeat), "true or false")
+        # danger: source and id joined without a mark between could make two events one
+        mark = f"{told['source']}\n{told['id']}"
+        if len(mark) > 512:
+            raise EventFault(400, "id", f"{len(mark)} characters with source", "512 at most")
+        return Ask(
+            tariff, customer, function, mark, remaining_ms, _amount(told, "workhint", 0.0), repeat == "true"
+        )
+
+
+def _amount(told: Mapping[str, str], name: str, default: float) -> float:
+    if name not in told:
+        return default
+    try:
+        amount = float(told[name])
+    except ValueError:
+        amount = math.nan
+    if not (math.isfinite(amount) and amount >= 0.0):
+        raise EventFault(400, name, repr(told[name]), "a number of ms, 0 or more")
+    return amount
--- /dev/null
+++ b/petrelway/front/backoff.py
@@ -0,0 +1,26 @@
+"""When to connect again, without I/O."""
+
+from __future__ import annotations
+
+import random
+
+
+class Backoff:
+    """Delays that double up to a bound, each with a chance phase so that front ends do not knock together.
+
+    >>> backoff = Backoff(random.Random(1), least_ms=50.0, most_ms=400.0)
+    >>> all(least <= backoff.failed() <= most for least, most in ((25, 50), (50, 100), (100, 200)))
+    True
+    """
+
+    def __init__(self, chance: random.Random, least_ms: float, most_ms: float) -> None:
+        self.chance, self.least_ms, self.most_ms = chance, least_ms, most_ms
+        self.next_ms = least_ms
+
+    def failed(self) -> float:
+        """How long to wait now, in ms: between half and all of the present delay."""
+        delay_ms, self.next_ms = self.next_ms, min(self.most_ms, 2.0 * self.next_ms)
+        return delay_ms * (0.5 + 0.5 * self.chance.random())
+
+    def succeeded(self) -> None:
+        self.next_ms = self.least_ms
--- /dev/null
+++ b/petrelway/front/host.py
@@ -0,0 +1,463 @@
+"""The host: the only caller of the decision module, and the one that carries out what it decides.
+
+Inputs of one reactor turn come first, then decisions are pulled until there is none. Outside ids become
+small indices here and are given back when the module releases them. A trigger's Deferred fires once, with an
+`Answer`; cancelling it tells the module that the client is gone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet import defer, interfaces
+
+from ..choice import FrontEnd
+from ..indices import Ids
+from ..interface import Decision, Listing, Outcome, Stage, Verb, Warmth
+from ..wire import codec
+from ..wire.listing import Line
+from .links import Link
+from .proof import Key
+
+STAGES = {"ready": Stage.READY, "draining": Stage.DRAINING, "gone": Stage.GONE}
+FAILURES_BOUND = 50  # decisions that may fail in one turn before all that is owed is broken off
+FULFILLED, NACKED, BROKEN_OFF = "fulfilled", "nacked", "broken off"
+
+
+class Answer(NamedTuple):
+    """The one final answer of a trigger; `retry_ms` goes with a nack, 0 for none."""
+
+    kind: str
+    retry_ms: float = 0.0
+    content_type: str = ""
+    body: bytes = b""
+    executor: str = ""
+    warmth: Warmth = Warmth.UNTOLD
+
+
+class Function(NamedTuple):
+    """What executors are told of a function; `load_ms` 0: untold."""
+
+    name: str
+    memory_mb: float
+    lanes: int
+    load_ms: float
+
+
+class Out:
+    """One transmission that is out."""
+
+    def __init__(self, executor: int, sent_ms: float) -> None:
+        self.executor, self.sent_ms = executor, sent_ms
+        self.timer = None
+
+
+class Taken:
+    """One trigger, from the taking until the module releases it."""
+
+    def __init__(
+        self,
+        index: int,
+        serial: int,
+        mark: str,
+        tariff: str,
+        customer: str,
+        function: Function,
+        outer_ms: float,
+        work_ms: float,
+        content_type: str,
+        body: bytes,
+    ) -> None:
+        self.index, self.serial, self.mark = index, serial, mark
+        self.tariff, self.customer, self.function = tariff, customer, function
+        self.outer_ms, self.work_ms, self.content_type, self.body = outer_ms, work_ms, content_type, body
+        self.out: dict[int, Out] = {}
+        self.sent = 0
+        self.answer: defer.Deferred[Answer] | None = defer.Deferred(self._cancelled)  # None: answered or gone
+        self.gone: Callable[[Taken], None] | None = None
+
+    def _cancelled(self, _: defer.Deferred) -> None:
+        if self.gone is not None:
+            self.gone(self)
+
+
+class Host:
+    """One front end's host. Times in ms of the clock handed in."""
+
+    def __init__(
+        self,
+        clock: interfaces.IReactorTime,
+        front_end: FrontEnd,
+        name: str,
+        process: str,
+        tariffs: list[str],
+        customers: list[str],
+        halls: list[str],
+        machines: list[str],
+        order_timeout_ms: float,
+        connect: Callable,
+        chance: random.Random,
+        log,
+        meter: Callable[[], float] | None = None,
+    ) -> None:
+        self.clock, self.front_end, self.name, self.process = clock, front_end, name, process
+        self.tariffs, self.customers = tariffs, customers
+        self.order_timeout_ms, self.connect, self.chance, self.log = order_timeout_ms, connect, chance, log
+        self.meter, self.deciding_s = meter, 0.0
+        self.triggers, self.executors, self.functions = Ids(), Ids(), Ids()
+        self.halls, self.machines = Ids(), Ids()
+        for ids, names in ((self.halls, halls), (self.machines, machines)):
+            for each in names:
+                ids.enter(each)
+        self.taken: dict[int, Taken] = {}  # by index
+        self.links: dict[int, Link] = {}
+        self.known: dict[int, Function] = {}
+        self.orders: dict[int, tuple[int, int, float, object]] = {}  # id -> executor, function, when, timer
+        self.serial = self.order_id = self.owed = 0
+        self.counts: Counter[str] = Counter()
+        self.turn = self.wake = None
+        self.wake_ms = 0.0
+        self.turning = False
+        self.idle: defer.Deferred[None] | None = None
+
+    def now(self) -> float:
+        return self.clock.seconds() * 1e3
+
+    # -- inputs
+
+    def take(
+        self,
+        tariff: int,
+        customer: int,
+        function: Function,
+        mark: str,
+        remaining_ms: float,
+        work_ms: float,
+        repeat: bool,
+        content_type: str,
+        body: bytes,
+    ) -> defer.Deferred[Answer]:
+        """Take a trigger; from now on it is owed one final answer, which the Deferred carries."""
+        now = self.now()
+        known, new = self.functions.enter(function.name)
+        if new:
+            self.known[known] = function
+            self.front_end.function_named(
+                now, known, function.name, function.memory_mb, function.lanes, function.load_ms
+            )
+        self.serial += 1
+        index, _ = self.triggers.enter(self.serial)
+        t = Taken(
+            index,
+            self.serial,
+            mark,
+            self.tariffs[tariff],
+            self.customers[customer] if self.customers else "",
+            function,
+            now + remaining_ms,
+            work_ms,
+            content_type,
+            body,
+        )
+        t.gone = self._client_gone
+        self.taken[index] = t
+        self.owed += 1
+        self.counts["taken"] += 1
+        answer = t.answer
+        self.front_end.trigger_taken(now, index, tariff, customer, known, remaining_ms, work_ms, repeat)
+        self._soon()
+        return answer
+
+    def executors_listed(self, lines: list[Line], complete: bool) -> None:
+        """The roster's word. A link is made for each executor that it names."""
+        now, listings, named = self.now(), [], set()
+        for line in lines:
+            if line.stage == "gone" and line.executor not in self.executors.index:
+                continue
+            index, new = self.executors.enter(line.executor)
+            named.add(index)
+            listings.append(
+                Listing(
+                    index,
+                    line.executor,
+                    self.halls.enter(line.hall)[0],
+                    self.machines.enter(line.machine)[0],
+                    line.cell,
+                    STAGES[line.stage],
+                    line.weight,
+                    line.started_ms,
+                )
+            )
+            if new:
+                self.links[index] = Link(
+                    index,
+                    line.executor,
+                    line.address,
+                    line.port,
+                    self.name,
+                    self.process,
+                    self.clock,
+                    self.connect,
+                    self.chance,
+                    self,
+                    self.log,
+                )
+            else:
+                self.links[index].moved(line.address, line.port)
+                self.links[index].restarted(line.started_ms)
+        self.front_end.executors_listed(now, listings, complete)
+        self._soon()
+
+    def transmission_ended(
+        self,
+        executor: int,
+        key: Key,
+        outcome: Outcome,
+        warmth: int,
+        crowd: int,
+        load: codec.Load,
+        content_type: str,
+        body: bytes,
+    ) -> None:
+        serial, number = key
+        index = self.triggers.index.get(serial, -1)
+        t = self.taken.get(index)
+        out = t.out.pop(number, None) if t is not None else None
+        if t is None or out is None:
+            return
+        if out.timer is not None:
+            out.timer.cancel()
+        self.counts[outcome.name.lower()] += 1
+        if outcome is Outcome.FULFILLED:
+            self._answer(
+                t, Answer(FULFILLED, 0.0, content_type, body, self.executors.wire[executor], Warmth(warmth))
+            )
+        now = self.now()
+        self.front_end.transmission_ended(
+            now, index, number, outcome, now - out.sent_ms, t.answer is None, Warmth(warmth)
+        )
+        self._soon()
+
+    def order_answered(self, executor: int, order: int, outcome: Outcome, copies: int) -> None:
+        if (found := self.orders.pop(order, None)) is None:
+            return
+        at, function, sent_ms, timer = found
+        if timer is not None and timer.active():
+            timer.cancel()
+        now = self.now()
+        self.counts[f"order {outcome.name.lower()}"] += 1
+        self.front_end.order_answered(now, at, function, outcome, copies, now - sent_ms)
+        self._soon()
+
+    def probe_answered(self, executor: int, probe: int, outcome: Outcome, load: codec.Load) -> None:
+        self.counts["probed"] += 1  # the module asks for none yet
+
+    def _client_gone(self, t: Taken) -> None:
+        t.answer = None
+        self.counts["client gone"] += 1
+        self._owe_less()
+        self.front_end.client_gone(self.now(), t.index)
+        self._soon()
+
+    # -- the turn
+
+    def _soon(self) -> None:
+        if self.turn is None and not self.turning:
+            self.turn = self.clock.callLater(0, self._turn)
+
+    def _woken(self) -> None:
+        self.wake = None
+        self.front_end.time_passed(self.now())
+        self._turn()
+
+    def _turn(self) -> None:
+        """Pull decisions until there is none."""
+        if self.turn is not None and self.turn.active():
+            self.turn.cancel()
+        self.turn, self.turning = None, True
+        failures = 0
+        now = self.now()
+        while True:
+            began = self.meter() if self.meter else 0.0
+            try:
+                decision = self.front_end.decide(now)
+            except Exception as error:
+                failures += 1
+                if not self._decision_failed(error, failures):
+                    break
+                continue
+            finally:
+                if self.meter:
+                    self.deciding_s += self.meter() - began
+            if decision is None:
+                break
+            self._carry_out(decision, now)
+        self.turning = False
+        free = self.front_end.released()
+        for index in free.triggers:
+            self.taken.pop(index)
+        for index in free.executors:
+            self.links.pop(index).close()
+        for index in free.functions:
+            del self.known[index]
+        self.triggers.leave(free.triggers)
+        self.executors.leave(free.executors)
+        self.functions.leave(free.functions)
+
+    def _decision_failed(self, error: Exception, failures: int) -> bool:
+        """Danger: one trigger that the decisions cannot digest must not take the others with it."""
+        index = self.front_end.failed()
+        t = self.taken.get(index)
+        self.counts["decision failed"] += 1
+        self.log.error(
+            "decision failed",
+            error=repr(error),
+            trigger=t.mark if t else "",
+            function=t.function.name if t else "",
+            tariff=t.tariff if t else "",
+            sent=t.sent if t else 0,
+            out=sorted(t.out) if t else [],
+            exc_info=error,
+        )
+        if t is not None:
+            self._answer(t, Answer(BROKEN_OFF))
+            for number in sorted(t.out):
+                self._withdraw(t, number)
+        if failures < FAILURES_BOUND:
+            return True
+        self.log.critical("decisions fail again and again: all that is owed is broken off", failures=failures)
+        for t in list(self.taken.values()):
+            if t.answer is not None:
+                self._answer(t, Answer(BROKEN_OFF))
+                self.front_end.client_gone(self.now(), t.index)
+        return False
+
+    def _carry_out(self, d: Decision, now: float) -> None:
+        verb = d.verb
+        if verb is Verb.SEND:
+            self._send(self.taken[d.trigger], d.executor, d.ms, now)
+        elif verb is Verb.WAKE:
+            self._wake_at(d.ms, now)
+        elif verb is Verb.NACK:
+            self._answer(self.taken[d.trigger], Answer(NACKED, d.ms))
+        elif verb is Verb.BREAK_OFF:
+            self._answer(self.taken[d.trigger], Answer(BROKEN_OFF))
+        elif verb is Verb.WITHDRAW:
+            self._withdraw(self.taken[d.trigger], d.number)
+        elif verb is Verb.ORDER:
+            self._order(d.executor, d.function, d.number, now)
+        elif verb is Verb.UNLOAD:
+            self.links[d.executor].unload(codec.unload(self.functions.wire[d.function]))
+        elif verb is Verb.PROBE:
+            self.order_id += 1
+            self.links[d.executor].order(self.order_id, codec.probe(self.order_id), "probe")
+        else:  # no way to the peers yet: counted, not silent
+            self.counts[f"not carried out: {verb.value}"] += 1
+
+    def _send(self, t: Taken, executor: int, limit_ms: float, now: float) -> None:
+        number, t.sent = t.sent, t.sent + 1
+        out = t.out[number] = Out(executor, now)
+        remaining_ms = t.outer_ms - now
+        key, f = (t.serial, number), t.function
+        if remaining_ms <= 0.0 or t.answer is None:
+            self.transmission_ended(executor, key, Outcome.UNSENT, 0, 0, codec.Load(), "", b"")
+            return
+        wait_ms = min(limit_ms, remaining_ms) if limit_ms > 0.0 else remaining_ms
+        out.timer = self.clock.callLater(wait_ms / 1e3, self._time_out, t, number)
+        self.links[executor].send(
+            key,
+            codec.send(
+                t.serial,
+                number,
+                t.mark,
+                f.name,
+                f.memory_mb,
+                f.lanes,
+                t.tariff,
+                t.customer,
+                remaining_ms,
+                t.work_ms,
+                t.content_type,
+                t.body,
+            ),
+        )
+
+    def _time_out(self, t: Taken, number: int) -> None:
+        t.out[number].timer = None
+        self._withdraw(t, number, Outcome.TIMEOUT)
+
+    def _withdraw(self, t: Taken, number: int, outcome: Outcome = Outcome.WITHDRAWN) -> None:
+        out = t.out.get(number)
+        if out is None:
+            return
+        link = self.links.get(out.executor)
+        ended = link.withdraw((t.serial, number), outcome) if link is not None else None
+        self.transmission_ended(
+            out.executor, (t.serial, number), ended or outcome, 0, 0, codec.Load(), "", b""
+        )
+
+    def _order(self, executor: int, function: int, copies: int, now: float) -> None:
+        self.order_id += 1
+        id, f = self.order_id, self.known[function]
+        self.orders[id] = executor, function, now, None
+        failed = self.links[executor].order(id, codec.order(id, f.name, copies, f.memory_mb, f.lanes))
+        if failed is not None:
+            self.order_answered(executor, id, failed, 0)
+            return
+        timer = self.clock.callLater(self.order_timeout_ms / 1e3, self._order_over, executor, id)
+        self.orders[id] = executor, function, now, timer
+
+    def _order_over(self, executor: int, id: int) -> None:
+        if (link := self.links.get(executor)) is not None:
+            link.forget_order(id)
+        self.order_answered(executor, id, Outcome.TIMEOUT, 0)
+
+    def _wake_at(self, ms: float, now: float) -> None:
+        if self.wake is not None and self.wake.active():
+            self.wake.cancel()
+        self.wake_ms = ms
+        self.wake = self.clock.callLater(max(0.0, ms - now) / 1e3, self._woken)
+
+    def _answer(self, t: Taken, answer: Answer) -> None:
+        """The one place that fires a trigger's Deferred."""
+        deferred, t.answer = t.answer, None
+        if deferred is None:
+            return
+        t.body = b""  # a long wait for late outcomes must not hold it
+        self.counts[answer.kind] += 1
+        self._owe_less()
+        deferred.callback(answer)
+
+    def _owe_less(self) -> None:
+        self.owed -= 1
+        if not self.owed and self.idle is not None:
+            idle, self.idle = self.idle, None
+            idle.callback(None)
+
+    # -- the end
+
+    def nothing_owed(self) -> defer.Deferred[None]:
+        """Fires when every trigger taken has its final answer; the intake must have stopped before."""
+        if not self.owed:
+            return defer.succeed(None)
+        self.idle = self.idle or defer.Deferred()
+        return self.idle
+
+    def close(self) -> None:
+        """Withdraw what is out, leave all executors."""
+        for t in list(self.taken.values()):
+            if t.answer is not None:
+                self._answer(t, Answer(BROKEN_OFF))
+        for call in (self.turn, self.wake, *(order[3] for order in self.orders.values())):
+            if call is not None and call.active():
+                call.cancel()
+        self.turn = self.wake = None
+        self.turning = True  # no further turn
+        for t in list(self.taken.values()):
+            for number in sorted(t.out):
+                self._withdraw(t, number)
+        for link in list(self.links.values()):
+            link.close()
--- /dev/null
+++ b/petrelway/front/links.py
@@ -0,0 +1,321 @@
+"""Links to executors: one TCP connection each, many transmissions at a time.
+
+A link connects as soon as the roster names its executor and again, with backoff, whenever it broke. What it
+tells the host is exact: see proof.py. The clock, the connector and the chance are handed in.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol as Shape
+
+from twisted.internet import interfaces, protocol
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from ..interface import Outcome
+from ..wire import codec
+from ..wire.framing import Frames, WireFault
+from .backoff import Backoff
+from .proof import Key, Ledger
+
+CONNECT_TIMEOUT_MS = 250.0  # a connection that is not up by then counts as unreachable
+WAITING_BOUND = 512  # transmissions that wait at one link for a connection or for room
+BUFFER_BYTES = 1 << 18  # bytes handed to a transport before it asks us to pause
+CLOGGED_MS = 2000.0  # a link that takes no byte for so long is broken off
+GREETING_MS = 2000.0  # an executor that accepts and says nothing for so long is no executor
+RETRY_LEAST_MS, RETRY_MOST_MS = 50.0, 1000.0
+ORDERS_BOUND = 256  # orders to load and probes out at one link
+
+
+class Ears(Shape):
+    """What a link tells its host. Times in ms."""
+
+    def transmission_ended(
+        self,
+        executor: int,
+        key: Key,
+        outcome: Outcome,
+        warmth: int,
+        crowd: int,
+        load: codec.Load,
+        content_type: str,
+        body: bytes,
+    ) -> None: ...
+
+    def order_answered(self, executor: int, order: int, outcome: Outcome, copies: int) -> None: ...
+
+    def probe_answered(self, executor: int, probe: int, outcome: Outcome, load: codec.Load) -> None: ...
+
+
+@implementer(interfaces.IPushProducer)
+class WorkerProtocol(protocol.Protocol):
+    """Bytes of one connection; as a push producer it hears when the transport's buffer is full."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.frames = Frames()
+        self.paused = False
+
+    def connectionMade(self) -> None:
+        for name, value in (("setTcpNoDelay", True), ("setTcpKeepAlive", True)):
+            getattr(self.transport, name, lambda _: None)(value)
+        if hasattr(self.transport, "bufferSize"):
+            self.transport.bufferSize = BUFFER_BYTES
+        self.transport.registerProducer(self, True)
+        self.link.came_up(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            for payload in self.frames.feed(data):
+                codec.from_executor(payload, self.link)
+        except WireFault as fault:
+            self.link.faulted(str(fault))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.link.went_down(self, reason)
+
+    def pauseProducing(self) -> None:
+        self.paused = True
+        self.link.clogged()
+
+    def resumeProducing(self) -> None:
+        self.paused = False
+        self.link.cleared()
+
+    def stopProducing(self) -> None:
+        self.paused = True
+
+
+class Link:
+    """One executor's link, whatever connections it lives through."""
+
+    def __init__(
+        self,
+        executor: int,
+        stable: str,
+        address: str,
+        port: int,
+        front_end: str,
+        process: str,
+        clock: interfaces.IReactorTime,
+        connect: Callable,
+        chance: random.Random,
+        ears: Ears,
+        log,
+    ) -> None:
+        self.executor, self.stable, self.address, self.port = executor, stable, address, port
+        self.front_end, self.process = front_end, process
+        self.clock, self.connect, self.ears, self.log = clock, connect, ears, log
+        self.backoff = Backoff(chance, RETRY_LEAST_MS, RETRY_MOST_MS)
+        self.ledger = Ledger(WAITING_BOUND)
+        self.frames: dict[Key, bytes] = {}  # of the waiting ones
+        self.orders: dict[int, str] = {}  # id -> "order" or "probe", handed over
+        self.wire: WorkerProtocol | None = None
+        self.ready = False  # the executor has said who it is
+        self.closed = False
+        self.reason = ""  # why the last connection ended, for the one line in the log
+        self.attempt = None  # the connect under way
+        self.timer = None  # the next connect, or the watch on a connection that says or takes nothing
+        self.said_down = False
+        self.started_ms = 0.0  # of the process at the other end
+        self._dial()
+
+    # -- the host's side
+
+    def send(self, key: Key, frame: bytes) -> None:
+        """Hand a transmission to the executor, at once or when there is a connection with room."""
+        if self.closed or not self.ledger.wait(key):
+            self.ears.transmission_ended(self.executor, key, Outcome.UNSENT, 0, 0, codec.Load(), "", b"")
+            return
+        if (
+            self.wire is None and self.attempt is None
+        ):  # between two tries: danger: holding it hides the outage
+            self.ledger.give_up(key, Outcome.UNSENT)
+            self.ears.transmission_ended(self.executor, key, Outcome.UNREACHABLE, 0, 0, codec.Load(), "", b"")
+            return
+        self.frames[key] = frame
+        self._drain()
+
+    def withdraw(self, key: Key, outcome: Outcome = Outcome.WITHDRAWN) -> Outcome | None:
+        """Nobody waits any more: what it ended as, or None if it is not out here."""
+        given_up = self.ledger.give_up(key, outcome)
+        if given_up is None:
+            return None
+        handed, ended = given_up
+        self.frames.pop(key, None)
+        if handed and self.wire is not None:
+            self.wire.transport.write(codec.withdraw(*key))
+        return ended
+
+    def order(self, id: int, frame: bytes, what: str = "order") -> Outcome | None:
+        """An order to load or a probe; an outcome if it could not be handed over."""
+        if self.wire is None or not self.ready:
+            return Outcome.UNREACHABLE
+        if self.wire.paused or len(self.orders) >= ORDERS_BOUND:
+            return Outcome.UNSENT
+        self.orders[id] = what
+        self.wire.transport.write(frame)
+        return None
+
+    def unload(self, frame: bytes) -> None:
+        if self.wire is not None and self.ready and not self.wire.paused:
+            self.wire.transport.write(frame)
+
+    def forget_order(self, id: int) -> bool:
+        """Its time is up; False if it has ended."""
+        return self.orders.pop(id, None) is not None
+
+    def moved(self, address: str, port: int) -> None:
+        """The roster names another place for the same executor."""
+        if (address, port) != (self.address, self.port):
+            self.address, self.port = address, port
+            if self.wire is not None:
+                self.wire.transport.abortConnection()
+
+    def restarted(self, started_ms: float) -> None:
+        """The roster names a process started then; a link to an older one is half open and cannot answer."""
+        if self.wire is not None and self.ready and self.started_ms < started_ms - 1.0:
+            self.reason = "the roster names a later process"
+            self.wire.transport.abortConnection()
+
+    def close(self) -> None:
+        """Leave for good; what is still out ends here."""
+        self.closed = True
+        self._stop_timer()
+        if self.attempt is not None:
+            self.attempt.cancel()
+        if self.wire is not None:
+            self.wire.transport.unregisterProducer()  # or the transport would wait for it
+            self.wire.transport.loseConnection()
+        self._end_all()
+
+    # -- the connection's side
+
+    def _dial(self) -> None:
+        self.timer = None
+        if self.closed:
+            return
+        self.attempt = attempt = self.connect(
+            self.address, self.port, lambda: WorkerProtocol(self), CONNECT_TIMEOUT_MS
+        )
+        attempt.addCallbacks(lambda _: None, self._refused)
+
+    def _refused(self, failure: Failure) -> None:
+        self.attempt = None
+        if not self.closed:
+            self._down(failure.getErrorMessage() if failure.check(ConnectError) else str(failure.value))
+
+    def came_up(self, wire: WorkerProtocol) -> None:
+        self.attempt = None
+        if self.closed:
+            wire.transport.abortConnection()
+            return
+        self.wire, self.ready, self.reason = wire, False, ""
+        wire.transport.write(codec.greeting(self.front_end, self.process))
+        self.timer = self.clock.callLater(GREETING_MS / 1e3, self._silent)
+
+    def welcomed(self, executor: str, process: str, machine: str, started_ms: float) -> None:
+        if executor != self.stable:  # danger: a port used anew by another executor must not be trusted
+            raise WireFault(
+                f"{self.address}:{self.port} says it is {executor!r}, the roster says {self.stable!r}"
+            )
+        self._stop_timer()
+        self.ready, self.started_ms = True, started_ms
+        self.backoff.succeeded()
+        if self.said_down:
+            self.log.info("link up", executor=self.stable)
+            self.said_down = False
+        if self.wire is not None and self.wire.paused:
+            self.clogged()
+        self._drain()
+
+    def ended(
+        self,
+        serial: int,
+        number: int,
+        outcome: int,
+        warmth: int,
+        crowd: int,
+        load: codec.Load,
+        content_type: str,
+        body: bytes,
+    ) -> None:
+        if self.ledger.ended((serial, number)):
+            self.ears.transmission_ended(
+                self.executor, (serial, number), Outcome(outcome), warmth, crowd, load, content_type, body
+            )
+
+    def stood(self, id: int, outcome: int, copies: int) -> None:
+        if self.orders.pop(id, None) == "order":
+            self.ears.order_answered(self.executor, id, Outcome(outcome), copies)
+
+    def probed(self, id: int, load: codec.Load) -> None:
+        if self.orders.pop(id, None) == "probe":
+            self.ears.probe_answered(self.executor, id, Outcome.FULFILLED, load)
+
+    def faulted(self, reason: str) -> None:
+        self.reason = reason
+
+    def went_down(self, wire: WorkerProtocol, reason: Failure) -> None:
+        if wire is not self.wire:
+            return
+        self.wire, self.ready = None, False
+        self._stop_timer()
+        if not self.closed:
+            self._down(self.reason or reason.getErrorMessage())
+
+    def clogged(self) -> None:
+        if self.ready and self.timer is None:
+            self.timer = self.clock.callLater(CLOGGED_MS / 1e3, self._stuck)
+
+    def cleared(self) -> None:
+        if self.ready:
+            self._stop_timer()
+        self._drain()
+
+    def _silent(self) -> None:
+        self.timer, self.reason = None, f"no welcome within {GREETING_MS:g} ms"
+        if self.wire is not None:
+            self.wire.transport.abortConnection()
+
+    def _stuck(self) -> None:
+        self.timer, self.reason = None, f"took no byte for {CLOGGED_MS:g} ms"
+        if self.wire is not None:
+            self.wire.transport.abortConnection()
+
+    def _drain(self) -> None:
+        wire = self.wire
+        while wire is not None and self.ready and not wire.paused:
+            key = self.ledger.hand_over()
+            if key is None:
+                return
+            wire.transport.write(self.frames.pop(key))
+
+    def _down(self, reason: str) -> None:
+        if not self.said_down:  # one line for one outage, not one for each try
+            self.log.warning(
+                "link down", executor=self.stable, address=self.address, port=self.port, reason=reason
+            )
+            self.said_down = True
+        self._end_all()
+        self.timer = self.clock.callLater(self.backoff.failed() / 1e3, self._dial)
+
+    def _end_all(self) -> None:
+        self.frames.clear()
+        for key, outcome in self.ledger.broke():
+            self.ears.transmission_ended(self.executor, key, outcome, 0, 0, codec.Load(), "", b"")
+        orders, self.orders = self.orders, {}
+        for id, what in orders.items():
+            if what == "order":
+                self.ears.order_answered(self.executor, id, Outcome.RESET, 0)
+            else:
+                self.ears.probe_answered(self.executor, id, Outcome.RESET, codec.Load())
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
--- /dev/null
+++ b/petrelway/front/proof.py
@@ -0,0 +1,68 @@
+"""What the end of a transmission proves, without I/O: the ledger of one connection's lifetime.
+
+Rule 2 rests on it: UNREACHABLE and UNSENT say that a transmission never ran, so they may be said only of
+one of which no byte was handed to the transport. From the hand-over on, a broken link is RESET: the
+bytes may lie in a kernel's buffer, on the way, or at the executor.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from ..interface import Outcome
+
+Key = tuple[int, int]  # trigger's serial, number of the transmission
+
+
+class Ledger:
+    """Transmissions of one link: waiting here, or handed over. Each key ends exactly once.
+
+    >>> ledger = Ledger(bound=2)
+    >>> ledger.wait((1, 0)), ledger.wait((2, 0)), ledger.wait((3, 0))
+    (True, True, False)
+    >>> ledger.hand_over(), ledger.broke()
+    ((1, 0), [((1, 0), <Outcome.RESET: 5>), ((2, 0), <Outcome.UNREACHABLE: 4>)])
+    """
+
+    def __init__(self, bound: int) -> None:
+        self.bound = bound  # transmissions that may wait here for a connection or for room in the buffer
+        self.waiting: OrderedDict[Key, None] = OrderedDict()
+        self.handed: dict[Key, None] = {}
+
+    def wait(self, key: Key) -> bool:
+        """Take one in; False if too many wait: it is UNSENT at once."""
+        if len(self.waiting) >= self.bound:
+            return False
+        self.waiting[key] = None
+        return True
+
+    def hand_over(self) -> Key | None:
+        """The next one to write; from here on it may have run."""
+        if not self.waiting:
+            return None
+        key, _ = self.waiting.popitem(last=False)
+        self.handed[key] = None
+        return key
+
+    def ended(self, key: Key) -> bool:
+        """The executor's word on one; False if it is not out (a late, doubled or invented word)."""
+        return self.handed.pop(key, self) is None
+
+    def give_up(self, key: Key, outcome: Outcome) -> tuple[bool, Outcome] | None:
+        """Its time is up or it is withdrawn: was it handed over, and its outcome; None if not out.
+
+        One that still waited here is UNSENT, whatever the cause: no byte of it left.
+        """
+        if self.waiting.pop(key, self) is None:
+            return False, Outcome.UNSENT
+        if self.handed.pop(key, self) is None:
+            return True, outcome
+        return None
+
+    def broke(self) -> list[tuple[Key, Outcome]]:
+        """The connection ended or never came up: all that was out, with what that proves of each."""
+        ends = [(key, Outcome.RESET) for key in self.handed]
+        ends += [(key, Outcome.UNREACHABLE) for key in self.waiting]
+        self.handed.clear()
+        self.waiting.clear()
+        return ends
--- /dev/null
+++ b/petrelway/front/service.py
@@ -0,0 +1,175 @@
+"""One front end as a Twisted service: wired from its sections, started and stopped as a whole."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from twisted.application import service
+from twisted.internet import defer, endpoints, interfaces, protocol
+
+from ..choice import FrontEnd
+from ..interface import ColdRule, Customer, Effect, Keeping, LoadRation, Permits, Place, Scope, Tariff
+from .ask import Ask, Asks, Catalogue
+from .host import Answer, Function, Host
+from .intake import Intake
+from .roster import Follower
+
+LEAVE_SLACK_MS = 500.0  # what is owed is waited for this long past the longest outer limit
+
+
+def connector(reactor) -> Callable:
+    """Connects to an address and a port with a time-out in ms; the Deferred can be cancelled."""
+
+    def connect(address: str, port: int, build: Callable, timeout_ms: float) -> defer.Deferred:
+        endpoint = endpoints.TCP4ClientEndpoint(reactor, address, port, timeout=timeout_ms / 1e3)
+        factory = protocol.Factory.forProtocol(build)
+        factory.noisy = False
+        return endpoint.connect(factory)
+
+    return connect
+
+
+def decider(kind: Callable[..., FrontEnd], now: float, seed: int, found: dict[str, Any]) -> FrontEnd:
+    """The module's instance for these sections; `kind` is FrontEnd or a baseline of its shape."""
+    place, fleet, permits, keeping = (found[s] for s in ("front_end", "fleet", "permits", "keeping"))
+    cold, ration = found["cold"], found["ration"]
+    return kind(
+        now,
+        seed,
+        Place(place.number, place.peers, fleet.halls.index(place.hall)),
+        [
+            Tariff(
+                Effect(t.effect), Scope(t.scope), t.window_ms, t.quoted_ms, t.outer_ms, t.payoff, t.late_share
+            )
+            for t in found["tariffs"]
+        ],
+        [Customer(c.portion, c.rate) for c in found["customers"]],
+        Permits(
+            permits.transmissions,
+            permits.second_copies,
+            permits.withdraw,
+            False,
+            False,
+            permits.longest_retry_ms,
+        ),
+        Keeping(
+            keeping.answers_miss,
+            keeping.orders,
+            keeping.least_keep_ms,
+            keeping.order_timeout_ms,
+            keeping.idle_price,
+        ),
+        ColdRule(cold.multiple, cold.span_ms, cold.start_share, cold.warm_ms),
+        LoadRation(ration.window_ms, ration.free, ration.share),
+    )
+
+
+class FrontEndService(service.Service):
+    """Intake, host, links and the roster's follower of one front end."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        found: dict[str, Any],
+        log,
+        kind: Callable[..., FrontEnd] = FrontEnd,
+        meter: Callable[[], float] | None = None,
+    ) -> None:
+        self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
+        self.port: interfaces.IListeningPort | None = None
+
+    def startService(self) -> None:
+        """Raises twisted.internet.error.CannotListenError if the port is taken."""
+        found, place, fleet = self.found, self.found["front_end"], self.found["fleet"]
+        process = uuid.uuid4().hex[:12]
+        chance = random.Random(f"{place.seed}/{place.name}/links")
+        now = self.reactor.seconds() * 1e3
+        self.host = Host(
+            self.reactor,
+            decider(self.kind, now, place.seed, found),
+            place.name,
+            process,
+            [t.name for t in found["tariffs"]],
+            [c.name for c in found["customers"]],
+            fleet.halls,
+            fleet.machines,
+            found["keeping"].order_timeout_ms,
+            connector(self.reactor),
+            chance,
+            self.log,
+            self.meter,
+        )
+        asks = Asks(
+            {t.name: t.outer_ms for t in found["tariffs"]},
+            [c.name for c in found["customers"]],
+            Catalogue([Function(f.name, f.memory_mb, f.lanes, f.load_ms) for f in found["functions"]]),
+        )
+        self.intake = Intake(asks, self._take, lambda: self.host.owed, self.log)
+        listen = found["listen"]
+        self.port = self.reactor.listenTCP(listen.port, self.intake, backlog=512, interface=listen.address)
+        roster = found["roster"]
+        self.follower = Follower(
+            place.name,
+            process,
+            roster.address,
+            roster.port,
+            self.reactor,
+            connector(self.reactor),
+            chance,
+            self.host.executors_listed,
+            self.log,
+        )
+        super().startService()
+        self.log.info(
+            "front end started", address=listen.address, port=self.port.getHost().port, process=process
+        )
+
+    def _take(self, ask: Ask, content_type: str, body: bytes) -> defer.Deferred[Answer]:
+        return self.host.take(
+            ask.tariff,
+            ask.customer,
+            ask.function,
+            ask.mark,
+            ask.remaining_ms,
+            ask.work_ms,
+            ask.repeat,
+            content_type,
+            body,
+        )
+
+    @defer.inlineCallbacks
+    def stopService(self):
+        """Stops the intake, answers what is owed, leaves. The Deferred fires when all is done."""
+        super().stopService()
+        owed = self.host.owed
+        self.log.info("front end leaves", owed=owed)
+        self.intake.leaving = True  # connections that are kept open get nacks
+        yield defer.maybeDeferred(self.port.stopListening)
+        wait = self.host.nothing_owed()
+        longest = max(t.outer_ms for t in self.found["tariffs"]) + LEAVE_SLACK_MS
+        timer = self.reactor.callLater(longest / 1e3, wait.cancel)
+        try:
+            yield wait
+        except defer.CancelledError:
+            self.log.error("answers owed past every outer limit", owed=self.host.owed)
+        finally:
+            if timer.active():
+                timer.cancel()
+        yield self._flushed()
+        self.follower.close()
+        self.host.close()
+        self.log.info(
+            "front end left",
+            answered=owed,
+            counts=dict(sorted(self.host.counts.items())),
+            deciding_ms=round(self.host.deciding_s * 1e3, 3),
+        )
+
+    def _flushed(self) -> defer.Deferred:
+        """A turn or two for the last answers to leave their transports."""
+        flushed: defer.Deferred = defer.Deferred()
+        self.reactor.callLater(0.05, flushed.callback, None)
+        return flushed
--- /dev/null
+++ b/petrelway/rehearsal/benchday.py
@@ -0,0 +1,5 @@
+"""placeholder"""
+
+
+def convert(file, scale):
+    raise NotImplementedError
--- /dev/null
+++ b/petrelway/rehearsal/conductor.py
@@ -0,0 +1,234 @@
+"""Plays a day: writes the plan, starts every process on loopback, does to front ends what the script says."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import psutil
+from twisted.internet import defer, error, protocol
+
+from ..standin.parts import Plan
+
+LEAD_MS = 3500.0  # from the plan to the day's beginning: processes start in it
+PORTS = range(20_000, 32_000)  # below the range that connections draw theirs from
+QUIT_S = 12.0  # a part that has not ended so long after its time is killed
+
+
+class PartFailed(Exception):
+    """A process of the rehearsal ended by itself; its text says which, how, and where its words are."""
+
+
+def free_ports(count: int, chance: random.Random) -> list[int]:
+    """Ports on loopback that nobody listens on now."""
+    found: list[int] = []
+    while len(found) < count:
+        port = chance.choice(PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
+
+
+def write_plan(folder: Path, tree: dict[str, Any], posts: int, fronts: int) -> None:
+    """plan.json, for all parts and for the checker."""
+    folder.mkdir(parents=True, exist_ok=True)
+    ports = free_ports(2 + fronts + posts, random.SystemRandom())
+    plan = {
+        "day": tree,
+        "epoch_ms": time.time() * 1e3 + LEAD_MS,
+        "ports": {
+            "store": ports[0],
+            "roster": ports[1],
+            "fronts": ports[2 : 2 + fronts],
+            "executors": ports[2 + fronts :],
+        },
+    }
+    (folder / "plan.json").write_text(json.dumps(plan))
+
+
+def write_fronts(plan: Plan, tree: dict[str, Any], level: str) -> list[Path]:
+    """Settings of each front end, as a file of its own."""
+    from ..standin.traffic import functions
+
+    day, fleet, files = plan.day, plan.day["fleet"], []
+    told = [{"name": f.name, "memory_mb": f.memory_mb, "lanes": f.lanes} for f in functions(day)]
+    for i in range(fleet.fronts):
+        settings = {
+            "front_end": {
+                "name": f"front-{i}",
+                "hall": fleet.halls[i % len(fleet.halls)],
+                "number": i,
+                "peers": fleet.fronts,
+                "seed": day["day"].seed * 1000 + i,
+            },
+            "listen": {"port": plan.ports["fronts"][i]},
+            "roster": {"port": plan.ports["roster"]},
+            "fleet": {"halls": fleet.halls, "machines": [k.name for k in fleet.kinds]},
+            "functions": [*told, {"name": "once-*", "memory_mb": 300.0, "lanes": 4}],
+            "log": {"file": str(plan.folder / f"front-{i}.log"), "level": level},
+        }
+        for section in ("tariffs", "customers", "permits", "keeping", "cold", "ration"):
+            if section in tree:
+                settings[section] = tree[section]
+        files.append(plan.folder / f"front-{i}.json")
+        files[-1].write_text(json.dumps(settings, indent=1))
+    return files
+
+
+class Part(protocol.ProcessProtocol):
+    """One process; its words go to a file."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.path = name, folder / f"{name}.err"
+        self.file = open(self.path, "ab")  # noqa: SIM115
+        self.ended: defer.Deferred[str] = defer.Deferred()
+        self.wanted_dead = False
+        self.cpu_s = 0.0
+
+    def outReceived(self, data: bytes) -> None:
+        self.file.write(data)
+
+    errReceived = outReceived
+
+    def processEnded(self, reason) -> None:
+        self.file.close()
+        how = "" if reason.check(error.ProcessDone) or self.wanted_dead else reason.getErrorMessage()
+        self.ended.callback(how)
+
+    def measure(self) -> None:
+        """Remember the CPU time so far, in s."""
+        try:
+            times = psutil.Process(self.transport.pid).cpu_times()
+            self.cpu_s = times.user + times.system
+        except (psutil.Error, TypeError):
+            pass
+
+
+class Conductor:
+    """One playing of a day."""
+
+    def __init__(
+        self,
+        reactor,
+        folder: Path,
+        tree: dict[str, Any],
+        policy: str,
+        progress: Callable[[float, str], None],
+        level: str = "warning",
+    ) -> None:
+        self.reactor, self.folder, self.policy, self.progress = reactor, folder, policy, progress
+        self.plan = Plan(folder)
+        self.files = write_fronts(self.plan, tree, level)
+        self.record = self.plan.record("conductor", reactor)
+        self.fronts: dict[int, Part] = {}
+        self.parts: list[Part] = []
+        self.failed: list[str] = []
+        self.front_cpu_s = 0.0
+        self.calls: list = []
+
+    def _spawn(self, name: str, *words: str) -> Part:
+        part = Part(name, self.folder)
+        self.reactor.spawnProcess(part, sys.executable, [sys.executable, "-m", "petrelway", *words], env=None)
+        self.parts.append(part)
+        part.ended.addCallback(self._ended, part)
+        return part
+
+    def _ended(self, how: str, part: Part) -> None:
+        if how:
+            self.failed.append(f"{part.name}: {how} (see {part.path.name})")
+        if self.fronts and part in self.fronts.values():
+            self.front_cpu_s += part.cpu_s
+
+    def _start_front(self, number: int) -> None:
+        self.record.note("front started", fe=f"front-{number}")
+        self.fronts[number] = self._spawn(
+            f"front-{number}", "serve", str(self.files[number]), "--policy", self.policy, "--meter"
+        )
+
+    @defer.inlineCallbacks
+    def play(self):
+        """Raises PartFailed if a process ended by itself."""
+        plan, day = self.plan, self.plan.day
+        self._spawn("services", "standin", "services", str(self.folder))
+        for hall in range(len(day["fleet"].halls)):
+            self._spawn(f"executors-{hall}", "standin", "executors", str(self.folder), str(hall))
+        for number in range(day["fleet"].fronts):
+            self._start_front(number)
+        for number in range(day["traffic"].clients):
+            self._spawn(f"clients-{number}", "standin", "clients", str(self.folder), str(number))
+        others = [p.ended for p in self.parts if not p.name.startswith("front")]
+        now = self.reactor.seconds() * 1e3
+        for h in plan.script.happenings:
+            if h.who == "front":
+                self.calls.append(
+                    self.reactor.callLater(
+                        max(0.0, plan.epoch_ms + h.at_ms - now) / 1e3, self._happen, h.number, h.what
+                    )
+                )
+        last = plan.epoch_ms + day["day"].length_s * 1e3 + max(t.outer_ms for t in day["tariffs"])
+        while (now := self.reactor.seconds() * 1e3) < last and not self.failed:
+            self._tell(now)
+            wait: defer.Deferred = defer.Deferred()
+            self.reactor.callLater(min(1.0, max(0.01, (last - now) / 1e3)), wait.callback, None)
+            yield wait
+        for part in self.fronts.values():
+            self._end_front(part, "TERM")
+        if self.failed:
+            self._kill_all()
+        deadline = self.reactor.callLater(QUIT_S, self._kill_all)
+        yield defer.DeferredList([*others, *(p.ended for p in self.parts if p.name.startswith("front"))])
+        if deadline.active():
+            deadline.cancel()
+        for call in self.calls:
+            if call.active():
+                call.cancel()
+        self.record.note("end", cpu_s=round(self.front_cpu_s, 3))
+        self.record.close()
+        if self.failed:
+            raise PartFailed("; ".join(self.failed))
+
+    def _tell(self, now: float) -> None:
+        at_s = (now - self.plan.epoch_ms) / 1e3
+        under = sorted(
+            {t.kind for t in self.plan.day["troubles"] if t.at_s <= at_s < t.at_s + max(1.0, t.len_s)}
+        )
+        self.progress(at_s, ", ".join(under))
+
+    def _happen(self, number: int, what: str) -> None:
+        part = self.fronts[number]
+        self.record.note(what, fe=f"front-{number}")
+        if what == "kill":
+            self._end_front(part, "KILL")
+        elif what == "start":
+            self._start_front(number)
+        elif part.transport.pid is not None:
+            part.transport.signalProcess(signal.SIGSTOP if what == "stop" else signal.SIGCONT)
+
+    def _end_front(self, part: Part, how: str) -> None:
+        if part.transport.pid is None:
+            return
+        part.measure()
+        part.wanted_dead = how == "KILL"
+        part.transport.signalProcess(signal.SIGCONT)
+        part.transport.signalProcess(how)
+
+    def _kill_all(self) -> None:
+        for part in self.parts:
+            if part.transport.pid is not None:
+                if not part.wanted_dead:
+                    self.failed.append(f"{part.name}: had to be killed")
+                part.wanted_dead = True
+                part.transport.signalProcess("KILL")
--- /dev/null
+++ b/petrelway/rehearsal/report.py
@@ -0,0 +1,107 @@
+"""What a recorded day came to, from the clients' and the store's records alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..rules.records import read
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Of sorted values; 0 for none."""
+    return values[min(len(values) - 1, int(share * len(values)))] if values else 0.0
+
+
+def report(folder: str | Path, day: dict[str, Any]) -> dict[str, Any]:
+    """Service within the quoted time and what it is made of. Times in ms, shares from 0 to 1."""
+    tariffs = {t.name: t for t in day["tariffs"]}
+    first: dict[str, dict] = {}
+    good: dict[str, float] = {}
+    outcomes: Counter[str] = Counter()
+    warmth: Counter[str] = Counter()
+    fetches, cpu_s = 0, 0.0
+    for line in read(folder):
+        kind = line["k"]
+        if kind == "ask":
+            if line["r"] == 0:
+                first[line["m"]] = line
+        elif kind == "answer":
+            outcomes[line["o"] or f"refused {line['st']}"] += 1
+            key = f"{line['_source']}\n{line['id']}"
+            if line["o"] == "fulfilled" and key not in good:
+                good[key] = line["t"]
+                warmth[line["w"]] += 1
+        elif kind in ("lost", "unanswered", "unreachable", "gone"):
+            outcomes[kind] += 1
+        elif kind == "fetch":
+            fetches += 1
+        elif kind == "end" and line["_file"] == "conductor":
+            cpu_s = line["cpu_s"]
+    earned = asked = 0.0
+    in_time = late = 0
+    took = []
+    windows: dict[int, list[float]] = {}
+    by_customer: dict[str, list[float]] = {}
+    for mark, line in first.items():
+        t = tariffs[line["f"]]
+        worth = t.payoff * line["w"]
+        got = 0.0
+        if mark in good:
+            ms = good[mark] - line["t"]
+            took.append(ms)
+            if ms <= t.quoted_ms:
+                got, in_time = worth, in_time + 1
+            elif ms <= t.outer_ms:
+                got, late = worth * t.late_share, late + 1
+        asked += worth
+        earned += got
+        for table, key in ((windows, int(line["t"] // 10_000)), (by_customer, line["c"])):
+            pair = table.setdefault(key, [0.0, 0.0])
+            pair[0] += got
+            pair[1] += worth
+    took.sort()
+    answers = sum(outcomes[o] for o in ("fulfilled", "nacked", "broken off"))
+    loads = warmth["began"] + warmth["awaited"]
+    return {
+        "triggers": len(first),
+        "service": earned / asked if asked else 0.0,
+        "worst_10_s": min((a / b for a, b in windows.values() if b), default=0.0),
+        "worst_customer": min((a / b for a, b in by_customer.values() if b), default=0.0),
+        "in_time": in_time,
+        "late": late,
+        "unserved": len(first) - in_time - late,
+        "p50_ms": round(percentile(took, 0.5), 1),
+        "p99_ms": round(percentile(took, 0.99), 1),
+        "found_share": warmth["found"] / max(1, warmth["found"] + loads),
+        "outcomes": dict(sorted(outcomes.items())),
+        "store_fetches": fetches,
+        "front_cpu_ms_per_answer": round(1e3 * cpu_s / max(1, answers), 3),
+    }
+
+
+def text(found: dict[str, Any], faults: list) -> str:
+    """For a terminal."""
+    lines = [
+        f"triggers {found['triggers']}: {found['in_time']} in time, {found['late']} late, "
+        f"{found['unserved']} unserved",
+        f"service within the quoted time {found['service']:.3f}; worst 10 s {found['worst_10_s']:.3f}; "
+        f"worst customer {found['worst_customer']:.3f}",
+        f"latency p50 {found['p50_ms']:.0f} ms, p99 {found['p99_ms']:.0f} ms; "
+        f"copy found by {found['found_share']:.1%} of the fulfilled; {found['store_fetches']} store fetches",
+        "answers to tries: " + ", ".join(f"{k} {v}" for k, v in found["outcomes"].items()),
+        f"front ends' CPU {found['front_cpu_ms_per_answer']:.2f} ms an answer",
+    ]
+    if faults:
+        lines.append(f"RULES BROKEN: {len(faults)}")
+        lines += [f"  rule {f.rule} at {f.at_ms / 1e3:.3f} s, {f.trigger}: {f.what}" for f in faults[:20]]
+    else:
+        lines.append("rules: all five kept")
+    return "\n".join(lines)
+
+
+def as_json(found: dict[str, Any], faults: list) -> str:
+    return msgspec.json.encode({**found, "broken_rules": [f._asdict() for f in faults]}).decode()
--- /dev/null
+++ b/petrelway/rules/checker.py
@@ -0,0 +1,374 @@
+"""Judges a recorded day by the five rules. It trusts what clients, executors and the roster saw at their
+sockets, and the conductor's word on which front ends it killed or stopped; never the front ends' own word.
+
+Times are ms since the day's epoch; two processes' times may differ by `slack_ms`.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+FULL, MISS = 2, 8
+DEAF_AFTER_MS = 1000.0  # what an executor that did not read finds when it reads again was sent earlier
+INFORMED = 2 / 3  # of the work that pushed a cold executor over came from front ends told of its start
+
+
+class Fault(NamedTuple):
+    """One breach: rule 1 to 5, when, of which trigger or executor, in words, and the lines that show it."""
+
+    rule: int
+    at_ms: float
+    trigger: str
+    what: str
+    evidence: list[dict[str, Any]]
+
+
+class TariffRule(NamedTuple):
+    effect: str  # harmless, stamped or one-shot
+    scope: str  # all, hall or cell
+    window_ms: float
+    mean_work_ms: float
+
+
+class Figures(NamedTuple):
+    """The rules' stated figures."""
+
+    tariffs: dict[str, TariffRule]
+    drain_grace_ms: float
+    cold_multiple: float
+    cold_span_ms: float
+    cold_share: float  # the least of its capacity that an executor really starts with
+    cold_warm_ms: float
+    ration_window_ms: float
+    ration_free: float
+    ration_share: float
+    grace_ms: float
+    slack_ms: float
+
+
+def figures(day: dict[str, Any]) -> Figures:
+    """From a day's sections."""
+    work = day["traffic"].work
+    cold, ration, fleet = day["cold"], day["ration"], day["fleet"]
+    return Figures(
+        {
+            t.name: TariffRule(
+                t.effect, t.scope, t.window_ms, work[t.name].mean_ms if t.name in work else 150.0
+            )
+            for t in day["tariffs"]
+        },
+        day["rules"].drain_grace_ms,
+        cold.multiple,
+        cold.span_ms,
+        fleet.cold_share,
+        fleet.warm_ms,
+        ration.window_ms,
+        ration.free,
+        ration.share,
+        day["day"].grace_ms,
+        day["day"].slack_ms,
+    )
+
+
+Trigger = tuple[str, str, int]  # front end, its process, serial there
+
+
+class Book:
+    """The lines of a record, by what the rules ask for."""
+
+    def __init__(self, lines: Iterable[dict[str, Any]]) -> None:
+        self.asks: dict[tuple[str, int, str], dict] = {}  # mark, try, front end
+        self.ends: dict[tuple[str, int, str], dict] = {}  # how each ended at the client
+        self.received: dict[Trigger, list[dict]] = defaultdict(list)
+        self.by_ask: dict[tuple[str, int, str], list[dict]] = defaultdict(list)
+        self.proofs: dict[
+            tuple[Trigger, int], float
+        ] = {}  # transmissions that never ran, and when it was said
+        self.orders: dict[tuple[str, str], list[dict]] = defaultdict(list)
+        self.told: dict[tuple[str, str], list[dict]] = defaultdict(list)
+        self.ups: dict[str, list[dict]] = defaultdict(list)  # by executor
+        self.fell: list[dict] = []
+        self.deaf: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.spells: dict[str, list[list]] = defaultdict(list)  # front end -> [what, from, to]
+        self.last_ms = 0.0
+        for line in lines:
+            self._enter(line)
+
+    def _enter(self, line: dict) -> None:
+        kind, t = line["k"], line["t"]
+        self.last_ms = max(self.last_ms, t)
+        if kind == "recv":
+            trigger = (line["fe"], line["fp"], line["s"])
+            self.received[trigger].append(line)
+            self.by_ask[line["m"], line["r"], line["fe"]].append(line)
+        elif kind == "end" and "ex" in line:
+            if line["o"] in (FULL, MISS):
+                self.proofs.setdefault(((line["fe"], line["fp"], line["s"]), line["n"]), t)
+        elif kind == "ask":
+            self.asks[line["m"], line["r"], line["fe"]] = line
+        elif kind in ("answer", "lost", "unanswered", "gone", "unreachable"):
+            self.ends.setdefault((f"{line['_source']}\n{line['id']}", line["r"], line["fe"]), line)
+        elif kind == "order":
+            self.orders[line["fe"], line["fp"]].append(line)
+        elif kind == "told":
+            self.told[line["fe"], line["fp"]].append(line)
+        elif kind == "up":
+            self.ups[line["ex"]].append(line)
+        elif kind == "fell":
+            self.fell.append(line)
+        elif kind == "deaf":
+            self.deaf[line["ex"]].append((t, float("inf")))
+        elif kind == "hears" and self.deaf[line["ex"]]:
+            self.deaf[line["ex"]][-1] = (self.deaf[line["ex"]][-1][0], t + DEAF_AFTER_MS)
+        elif kind in ("kill", "stop"):
+            self.spells[line["fe"]].append([kind, t, float("inf")])
+        elif kind in ("front started", "go on"):
+            for spell in self.spells[line["fe"]]:
+                if spell[2] == float("inf"):
+                    spell[2] = t
+
+    def late_by_itself(self, line: dict) -> bool:
+        """Whether this arrival says nothing of when it was sent: its executor was not reading."""
+        return any(a <= line["t"] <= b for a, b in self.deaf.get(line["ex"], ()))
+
+    def excused(self, front: str, since: float, until: float) -> bool:
+        """Whether the front end was killed or stood stopped by the conductor within this time."""
+        return any(a <= until and b >= since for _, a, b in self.spells.get(front, ()))
+
+
+def judge(lines: Iterable[dict[str, Any]], told: Figures) -> list[Fault]:
+    """All breaches in a record, by time; an empty list if the rules were kept."""
+    book = Book(lines)
+    faults = [
+        *_answers(book, told),
+        *_effects(book, told),
+        *_drains(book, told),
+        *_cold(book, told),
+        *_ration(book, told),
+    ]
+    return sorted(faults, key=lambda f: (f.at_ms, f.rule))
+
+
+def _name(key: tuple[str, int, str]) -> str:
+    mark, turn, front = key
+    return f"{mark.replace(chr(10), '#')} try {turn} at {front}"
+
+
+def _answers(book: Book, told: Figures) -> Iterable[Fault]:
+    """Rule 1: one final answer in time for each trigger taken, nothing sent after."""
+    for key, ask in book.asks.items():
+        end = book.ends.get(key)
+        due = ask["t"] + ask["left"] + told.grace_ms
+        if end is None:
+            if book.last_ms > due and not book.excused(key[2], ask["t"], due):
+                yield Fault(1, due, _name(key), "no answer and no end of it at the client", [ask])
+            continue
+        if end["k"] in ("unanswered", "lost"):
+            what = "never answered" if end["k"] == "unanswered" else "its connection ended without an answer"
+            if not book.excused(key[2], ask["t"], end["t"] + told.slack_ms):
+                yield Fault(1, end["t"], _name(key), what, [ask, end])
+        elif end["k"] == "answer" and end["t"] > due and not book.excused(key[2], ask["t"], end["t"]):
+            yield Fault(1, end["t"], _name(key), f"answered {end['t'] - due:.0f} ms too late", [ask, end])
+        if end["k"] in ("answer", "gone"):
+            for line in book.by_ask.get(key, ()):
+                if (
+                    line["t"] > end["t"] + told.slack_ms
+                    and not book.late_by_itself(line)
+                    and not book.excused(key[2], end["t"], line["t"])
+                ):
+                    yield Fault(
+                        1,
+                        line["t"],
+                        _name(key),
+                        f"transmission {line['n']} reached {line['ex']} "
+                        f"{line['t'] - end['t']:.0f} ms after the final answer",
+                        [ask, end, line],
+                    )
+
+
+def _effects(book: Book, told: Figures) -> Iterable[Fault]:
+    """Rule 2: no effect twice, and no nack that promises too much."""
+    for trigger, some in book.received.items():
+        tariff = told.tariffs[some[0]["f"]]
+        if tariff.effect == "harmless":
+            continue
+        some = sorted(some, key=lambda line: line["n"])
+        key = (some[0]["m"], some[0]["r"], trigger[0])
+        for i, earlier in enumerate(some):
+            proved = book.proofs.get((trigger, earlier["n"]), float("inf"))
+            for later in some[i + 1 :]:
+                if proved <= later["t"]:
+                    continue
+                if tariff.effect == "one-shot":
+                    yield Fault(
+                        2,
+                        later["t"],
+                        _name(key),
+                        f"one-shot: transmission {later['n']} though "
+                        f"{earlier['n']} may have run at {earlier['ex']}",
+                        [earlier, later],
+                    )
+                elif not _same_group(book, tariff.scope, earlier["ex"], later["ex"]):
+                    yield Fault(
+                        2,
+                        later["t"],
+                        _name(key),
+                        f"stamped: transmission {later['n']} at {later['ex']}, "
+                        f"which does not drop repeats of {earlier['ex']}",
+                        [earlier, later],
+                    )
+                elif later["t"] > earlier["t"] + tariff.window_ms + told.slack_ms and not book.late_by_itself(
+                    later
+                ):
+                    yield Fault(
+                        2,
+                        later["t"],
+                        _name(key),
+                        f"stamped: transmission {later['n']} "
+                        f"{later['t'] - earlier['t']:.0f} ms after {earlier['n']}, whose mark is forgotten",
+                        [earlier, later],
+                    )
+        end = book.ends.get(key)
+        if (
+            end is not None
+            and end["k"] == "answer"
+            and end["o"] == "nacked"
+            and (tariff.effect == "one-shot" or tariff.scope != "all")
+        ):
+            for line in some:
+                if book.proofs.get((trigger, line["n"]), float("inf")) > end["t"]:
+                    yield Fault(
+                        2,
+                        end["t"],
+                        _name(key),
+                        f"{tariff.effect}: nacked though transmission {line['n']} "
+                        f"may have run at {line['ex']}",
+                        [line, end],
+                    )
+
+
+def _same_group(book: Book, scope: str, one: str, other: str) -> bool:
+    if scope == "all" or one == other:
+        return True
+    return book.ups[one][0][scope] == book.ups[other][0][scope]
+
+
+def _drains(book: Book, told: Figures) -> Iterable[Fault]:
+    """Rule 3: past the grace nothing new to an executor told to drain or be gone."""
+    ended: dict[tuple[str, str], dict[str, list[tuple[float, float]]]] = {}
+    for who, lists in book.told.items():
+        spells: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        since: dict[str, float] = {}
+        known: set[str] = set()
+        for line in lists:
+            stages = {name: stage for name, stage, _ in line["lines"]}
+            if line["full"]:
+                stages.update((name, "gone") for name in known - set(stages))
+            known |= set(stages)
+            for name, stage in stages.items():
+                if stage == "ready" and name in since:
+                    spells[name].append((since.pop(name), line["t"]))
+                elif stage != "ready":
+                    since.setdefault(name, line["t"])
+        for name, t in since.items():
+            spells[name].append((t, float("inf")))
+        ended[who] = spells
+    sends = [line for some in book.received.values() for line in some]
+    sends += [line for some in book.orders.values() for line in some if line["c"] > 0]
+    for line in sends:
+        for begin, end in ended.get((line["fe"], line["fp"]), {}).get(line["ex"], ()):
+            past = line["t"] - begin - told.drain_grace_ms
+            if past > told.slack_ms and line["t"] < end and not book.late_by_itself(line):
+                what = "an order to load" if line["k"] == "order" else f"transmission {line['n']}"
+                yield Fault(
+                    3,
+                    line["t"],
+                    f"{line['ex']} from {line['fe']}",
+                    f"{what} {past:.0f} ms past the grace",
+                    [line],
+                )
+
+
+def _cold(book: Book, told: Figures) -> Iterable[Fault]:
+    """Rule 4: what all front ends together send a cold executor stays under its multiple."""
+    if told.cold_multiple <= 0.0 or told.cold_span_ms <= 0.0:
+        return
+    informed: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)  # (front, executor)
+    for (front, _), lists in book.told.items():
+        for line in lists:
+            for name, stage, started in line["lines"]:
+                if stage == "ready" and started:
+                    informed[front, name].append((line["t"], started))
+    sends: dict[tuple[str, str], list[dict]] = defaultdict(list)
+    for some in book.received.values():
+        for line in some:
+            sends[line["ex"], line["p"]].append(line)
+    for ups in book.ups.values():
+        for up in ups:
+            if up["cold"]:
+                yield from _push(
+                    up, sorted(sends[up["ex"], up["p"]], key=lambda x: x["t"]), informed, told, book
+                )
+
+
+def _push(up: dict, sends: list[dict], informed: dict, told: Figures, book: Book) -> Iterable[Fault]:
+    begin, total, knowing = 0, 0.0, 0.0
+    works = []
+    fell = [line for line in book.fell if line["ex"] == up["ex"] and line["p"] == up["p"]]
+    for i, line in enumerate(sends):
+        age = line["t"] - up["t"]
+        if age >= told.cold_warm_ms:
+            break
+        work = told.tariffs[line["f"]].mean_work_ms
+        knows = any(t <= line["t"] for t, _ in informed.get((line["fe"], up["ex"]), ()))
+        works.append((work, knows))
+        total, knowing = total + work, knowing + work * knows
+        while sends[begin]["t"] < line["t"] - told.cold_span_ms:
+            total, knowing = total - works[begin][0], knowing - works[begin][0] * works[begin][1]
+            begin += 1
+        present = up["cap"] * (told.cold_share + (1.0 - told.cold_share) * max(0.0, age) / told.cold_warm_ms)
+        room = told.cold_multiple * present * told.cold_span_ms
+        if total > room and knowing >= INFORMED * total:
+            yield Fault(
+                4,
+                line["t"],
+                up["ex"],
+                f"{total:.0f} ms of work within {told.cold_span_ms:.0f} ms, room for "
+                f"{room:.0f}, {age:.0f} ms after its start{'; it fell' if fell else ''}",
+                [up, *sends[begin : i + 1][-10:]],
+            )
+            return
+
+
+def _ration(book: Book, told: Figures) -> Iterable[Fault]:
+    """Rule 5: orders to load within the window stay under the few plus the share of triggers taken."""
+    if told.ration_window_ms <= 0.0:
+        return
+    taken: dict[str, list[float]] = defaultdict(list)
+    for key, ask in book.asks.items():
+        end = book.ends.get(key)
+        if end is None or end["k"] != "unreachable" and not (end["k"] == "answer" and not end["taken"]):
+            taken[key[2]].append(ask["t"])
+    for times in taken.values():
+        times.sort()
+    for (front, _), lines in book.orders.items():
+        lines = [line for line in lines if line["c"] > 0 and not book.late_by_itself(line)]
+        lines.sort(key=lambda line: line["t"])
+        times = [line["t"] for line in lines]
+        asked = taken.get(front, [])
+        for i, line in enumerate(lines):
+            t, slack = line["t"], told.slack_ms
+            count = i + 1 - bisect_right(times, t - told.ration_window_ms + 2 * slack)
+            some = bisect_right(asked, t + slack) - bisect_left(asked, t - told.ration_window_ms - slack)
+            if count > told.ration_free + told.ration_share * some:
+                yield Fault(
+                    5,
+                    t,
+                    front,
+                    f"{count} orders to load within {told.ration_window_ms:.0f} ms, {some} triggers taken",
+                    [line],
+                )
+                break
--- /dev/null
+++ b/petrelway/settings/days.py
@@ -0,0 +1,247 @@
+"""The sections of a rehearsal day: fleet, traffic, rules' figures and troubles."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, field
+
+from .front import (
+    ColdStart,
+    Count,
+    CustomerShare,
+    HowCopiesAreKept,
+    Ms,
+    Name,
+    Ration,
+    Share,
+    Some,
+    Strict,
+    TariffTerms,
+    WhatIsPermitted,
+)
+from .reading import Fault, SettingsFault, evaluate, sections
+
+Range = Annotated[list[float], Meta(min_length=2, max_length=2)]
+
+KINDS = (
+    "slow",
+    "hang",
+    "fast_errors",
+    "pauses",
+    "burst",
+    "heavy_tail",
+    "zone_loss",
+    "deploy",
+    "balancer_crash",
+    "balancer_stall",
+    "origin_slow",
+    "flush",
+    "scan",
+    "shift",
+    "throttle",
+    "ageing",
+    "never_read",
+    "half_open",
+    "reset_mid_frame",
+    "one_byte",
+    "garbage",
+    "roster_gap",
+    "roster_down",
+)
+
+
+class Times(Strict):
+    length_s: Annotated[float, Meta(gt=0, le=3600)]
+    seed: int = 1
+    grace_ms: Some = (
+        150.0  # a final answer may come so long after the client's time: the machine's own delays
+    )
+    slack_ms: Some = 100.0  # what two processes may disagree on when something passed
+
+
+class MachineKind(Strict):
+    name: Name
+    share: Share
+    cores: Annotated[int, Meta(ge=1, le=256)]
+    speed: Range = field(default_factory=lambda: [1.0, 1.0])
+    memory_mb: Some = 12_000.0
+    slots_per_core: Annotated[int, Meta(ge=1, le=1000)] = 4
+    queue: Count = 32
+
+
+class ExecutorFleet(Strict):
+    halls: Annotated[list[Name], Meta(min_length=1, max_length=20)]
+    executors: Annotated[int, Meta(ge=1, le=500)]
+    kinds: Annotated[list[MachineKind], Meta(min_length=1, max_length=20)]
+    fronts: Annotated[int, Meta(ge=1, le=64)] = 3
+    cell_size: Annotated[int, Meta(ge=1, le=500)] = 4
+    loads_at_once: Annotated[int, Meta(ge=1, le=64)] = 4
+    eager: bool = True  # starts another copy by itself when all lanes are taken
+    keep_ms: Some = 10_000.0
+    error_rate: Share = 0.0
+    load_fail: Share = 0.0
+    fail_says: Literal["miss", "error"] = "miss"
+    images: bool = False  # a fetched function's image stays on the executor's disk
+    cold_share: Share = 0.25
+    warm_ms: Ms = 10_000.0
+
+
+class FunctionDraw(Strict):
+    count: Annotated[int, Meta(ge=1, le=100_000)]
+    zipf: Annotated[float, Meta(ge=0, le=4)] = 1.1
+    memory_mb: Range = field(default_factory=lambda: [200.0, 600.0])
+    load_ms: Range = field(default_factory=lambda: [400.0, 1000.0])
+    fetch_share: Share = 0.7
+    lanes: Annotated[list[int], Meta(min_length=1)] = field(default_factory=lambda: [4])
+
+
+class Work(Strict):
+    """What triggers cost: by tariff, on a core of speed 1."""
+
+    mean_ms: Some = 150.0
+    cv: Annotated[float, Meta(ge=0, le=5)] = 0.7
+    io_ms: Ms = 0.0
+
+
+class Traffic(Strict):
+    rate: Annotated[float, Meta(gt=0, le=100_000)]
+    shares: dict[str, Share] = {}  # by tariff; left out: equal
+    work: dict[str, Work] = {}
+    hint_cv: Annotated[float, Meta(ge=0, le=5)] = 0.4
+    retries: Count = 1
+    backoff_ms: Ms = 50.0
+    try_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    honour: Share = 1.0  # clients that stay away as a nack says
+    impatient: Share = 0.0
+    clients: Annotated[int, Meta(ge=1, le=16)] = 1  # processes
+
+
+class StoreTerms(Strict):
+    takes: Annotated[int, Meta(ge=1, le=100_000)] = 8
+    limit: Annotated[int, Meta(ge=1, le=100_000)] = 64
+    thrash: Share = 0.1
+    fall_multiple: Annotated[float, Meta(ge=0)] = 0.0
+    fall_ms: Ms = 3000.0
+    down_ms: Ms = 3000.0
+
+
+class RosterTerms(Strict):
+    notice_ms: Range = field(default_factory=lambda: [300.0, 1500.0])
+    add_ms: Range = field(default_factory=lambda: [200.0, 1000.0])
+
+
+class Trouble(Strict):
+    kind: Literal[
+        "slow",
+        "hang",
+        "fast_errors",
+        "pauses",
+        "burst",
+        "heavy_tail",
+        "zone_loss",
+        "deploy",
+        "balancer_crash",
+        "balancer_stall",
+        "origin_slow",
+        "flush",
+        "scan",
+        "shift",
+        "throttle",
+        "ageing",
+        "never_read",
+        "half_open",
+        "reset_mid_frame",
+        "one_byte",
+        "garbage",
+        "roster_gap",
+        "roster_down",
+    ]
+    at_s: Annotated[float, Meta(ge=0)]
+    len_s: Annotated[float, Meta(ge=0)] = 10.0
+    part: Share = 0.2
+    size: Annotated[float, Meta(ge=0)] = 1.0
+    extra: Annotated[float, Meta(ge=0)] = 0.0
+    how: str = ""
+    which: Count = 0  # hall, customer or tariff by number
+    on: list[Count] = []  # executors or front ends by number; left out: drawn
+
+
+class RulesFigures(Strict):
+    drain_grace_ms: Some = 2000.0
+
+
+SHAPES: dict[str, Any] = {
+    "day": Times,
+    "fleet": ExecutorFleet,
+    "functions": FunctionDraw,
+    "traffic": Traffic,
+    "store": StoreTerms,
+    "roster": RosterTerms,
+    "rules": RulesFigures,
+    "tariffs": Annotated[list[TariffTerms], Meta(min_length=1, max_length=20)],
+    "customers": Annotated[list[CustomerShare], Meta(min_length=1, max_length=100)],
+    "permits": WhatIsPermitted,
+    "keeping": HowCopiesAreKept,
+    "cold": ColdStart,
+    "ration": Ration,
+    "troubles": Annotated[list[Trouble], Meta(max_length=100)],
+}
+OPTIONAL = frozenset(("store", "roster", "rules", "permits", "keeping", "ration", "troubles"))
+
+
+def read_day(file: str) -> dict[str, Any]:
+    """The sections of a day, by name. Raises SettingsFault."""
+    return check_day(file, evaluate(file))
+
+
+def check_day(file: str, tree: dict[str, Any]) -> dict[str, Any]:
+    """A day's tree as sections, checked. Raises SettingsFault."""
+    found = sections(file, tree, SHAPES, OPTIONAL)
+    for name, shape in (
+        ("store", StoreTerms),
+        ("roster", RosterTerms),
+        ("rules", RulesFigures),
+        ("permits", WhatIsPermitted),
+        ("keeping", HowCopiesAreKept),
+        ("ration", Ration),
+    ):
+        found.setdefault(name, shape())
+    found.setdefault("troubles", [])
+    faults = []
+    tariffs = {t.name for t in found["tariffs"]}
+    for section in ("shares", "work"):
+        for name in getattr(found["traffic"], section):
+            if name not in tariffs:
+                faults.append(
+                    Fault(f"traffic.{section}.{name}", "that tariff", "one of " + ", ".join(sorted(tariffs)))
+                )
+    fleet = found["fleet"]
+    for i, trouble in enumerate(found["troubles"]):
+        if trouble.at_s > found["day"].length_s:
+            faults.append(
+                Fault(f"troubles[{i}].at_s", f"{trouble.at_s:g}", f"{found['day'].length_s:g} at most")
+            )
+        most = fleet.fronts if trouble.kind.startswith("balancer") else fleet.executors
+        for number in trouble.on:
+            if number >= most:
+                faults.append(Fault(f"troubles[{i}].on", str(number), f"0 to {most - 1}"))
+    if fleet.cold_share < found["cold"].start_share:
+        faults.append(
+            Fault(
+                "fleet.cold_share",
+                f"{fleet.cold_share:g}",
+                f"at least the told cold.start_share = {found['cold'].start_share:g}",
+            )
+        )
+    if fleet.warm_ms > found["cold"].warm_ms:
+        faults.append(
+            Fault(
+                "fleet.warm_ms",
+                f"{fleet.warm_ms:g}",
+                f"at most the told cold.warm_ms = {found['cold'].warm_ms:g}",
+            )
+        )
+    if faults:
+        raise SettingsFault(file, faults)
+    return found
--- /dev/null
+++ b/petrelway/settings/front.py
@@ -0,0 +1,179 @@
+"""The sections of a front end's file, and what must hold between them."""
+
+from __future__ import annotations
+
+import fnmatch
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from .reading import Fault, SettingsFault, evaluate, sections
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Ms = Annotated[float, Meta(ge=0, le=86_400_000)]
+Some = Annotated[float, Meta(gt=0, le=86_400_000)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Unknown keys are refused: a mistyped one must not pass for a default."""
+
+
+class FrontEndPlace(Strict):
+    name: Name
+    hall: Name
+    number: Count = 0
+    peers: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    seed: int = 0
+
+
+class Listen(Strict):
+    port: Port
+    address: Name = "127.0.0.1"
+
+
+class Fleet(Strict):
+    """Names that the roster uses for halls and machine kinds."""
+
+    halls: list[Name]
+    machines: list[Name] = []
+
+
+class TariffTerms(Strict):
+    name: Name
+    effect: Literal["harmless", "stamped", "one-shot"]
+    quoted_ms: Some
+    outer_ms: Some
+    scope: Literal["all", "hall", "cell"] = "all"
+    window_ms: Ms = 0.0
+    payoff: Annotated[float, Meta(ge=0)] = 1.0
+    late_share: Share = 0.0
+
+
+class CustomerShare(Strict):
+    name: Name
+    portion: Share
+    rate: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class FunctionEntry(Strict):
+    """A function, or a pattern such as `station-*` for many alike."""
+
+    name: Name
+    memory_mb: Annotated[float, Meta(gt=0, le=1e7)]
+    lanes: Annotated[int, Meta(ge=1, le=1024)]
+    load_ms: Ms = 0.0
+
+
+class WhatIsPermitted(Strict):
+    transmissions: Annotated[int, Meta(ge=1, le=16)] = 3
+    second_copies: bool = True
+    withdraw: bool = True
+    longest_retry_ms: Ms = 1000.0
+
+
+class HowCopiesAreKept(Strict):
+    answers_miss: bool = False
+    orders: bool = True
+    least_keep_ms: Some = 10_000.0
+    order_timeout_ms: Some = 10_000.0
+    idle_price: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class ColdStart(Strict):
+    multiple: Some
+    span_ms: Some
+    start_share: Annotated[float, Meta(gt=0, le=1)]
+    warm_ms: Ms
+
+
+class Ration(Strict):
+    window_ms: Ms = 0.0
+    free: Annotated[float, Meta(ge=0)] = 0.0
+    share: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class LogWanted(Strict):
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    form: Literal["json", "console"] = "json"
+    file: str = ""
+
+
+SHAPES: dict[str, Any] = {
+    "front_end": FrontEndPlace,
+    "listen": Listen,
+    "roster": Listen,
+    "fleet": Fleet,
+    "tariffs": Annotated[list[TariffTerms], Meta(min_length=1, max_length=100)],
+    "customers": Annotated[list[CustomerShare], Meta(max_length=10_000)],
+    "functions": Annotated[list[FunctionEntry], Meta(min_length=1, max_length=100_000)],
+    "permits": WhatIsPermitted,
+    "keeping": HowCopiesAreKept,
+    "cold": ColdStart,
+    "ration": Ration,
+    "log": LogWanted,
+}
+OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log"))
+
+
+def read_front_end(file: str) -> dict[str, Any]:
+    """The sections of a front end's file, by name. Raises SettingsFault."""
+    found = sections(file, evaluate(file), SHAPES, OPTIONAL)
+    found.setdefault("customers", [])
+    for name, shape in (
+        ("permits", WhatIsPermitted),
+        ("keeping", HowCopiesAreKept),
+        ("ration", Ration),
+        ("log", LogWanted),
+    ):
+        found.setdefault(name, shape())
+    if faults := between(found):
+        raise SettingsFault(file, faults)
+    return found
+
+
+def between(found: dict[str, Any]) -> list[Fault]:
+    """What must hold between values that are each well formed."""
+    faults = []
+    place, fleet = found["front_end"], found["fleet"]
+    if place.hall not in fleet.halls:
+        faults.append(
+            Fault("front_end.hall", repr(place.hall), "one of fleet.halls: " + ", ".join(fleet.halls))
+        )
+    if place.number >= place.peers:
+        faults.append(Fault("front_end.number", str(place.number), f"0 to peers - 1 = {place.peers - 1}"))
+    for section in ("tariffs", "customers", "functions"):
+        seen: set[str] = set()
+        for i, each in enumerate(found[section]):
+            if each.name in seen:
+                faults.append(Fault(f"{section}[{i}].name", repr(each.name), "a name not used before"))
+            seen.add(each.name)
+    for i, t in enumerate(found["tariffs"]):
+        if t.quoted_ms > t.outer_ms:
+            faults.append(
+                Fault(f"tariffs[{i}].quoted_ms", f"{t.quoted_ms:g}", f"outer_ms = {t.outer_ms:g} at most")
+            )
+        if t.effect == "stamped" and t.window_ms <= 0.0:
+            faults.append(Fault(f"tariffs[{i}].window_ms", f"{t.window_ms:g}", "more than 0 where stamped"))
+    portions = sum(c.portion for c in found["customers"])
+    if portions > 1.0 + 1e-9:
+        faults.append(Fault("customers", f"portions that sum to {portions:g}", "a sum of 1 at most"))
+    earlier: list[str] = []
+    for i, f in enumerate(found["functions"]):
+        hidden = next(
+            (
+                p
+                for p in earlier
+                if p != f.name and fnmatch.fnmatchcase(f.name, p) and set(f.name) & set("*?[")
+            ),
+            None,
+        )
+        if hidden:  # an exact name always comes first; a pattern behind a wider one never would
+            faults.append(
+                Fault(f"functions[{i}].name", repr(f.name), f"a pattern not covered by {hidden!r} before it")
+            )
+        earlier.append(f.name)
+    return faults
--- /dev/null
+++ b/petrelway/standin/parts.py
@@ -0,0 +1,173 @@
+"""Processes of a rehearsal: each reads the plan, makes the same script, and plays its part by the clock."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import protocol
+
+from ..settings.days import check_day
+from ..wire.listing import Line
+from .clients import Clients
+from .executors import Executor
+from .machine import Marks
+from .records import Record
+from .roster import Book, RosterFactory
+from .script import Script, write
+from .store import Store, StoreClient, StoreProtocol
+from .traffic import functions
+
+LATE_MS = 2000.0  # parts stay so long after the last outer limit
+
+
+class Plan:
+    """What the conductor wrote for all parts: day, epoch, ports."""
+
+    def __init__(self, folder: str | Path) -> None:
+        self.folder = Path(folder)
+        told = json.loads((self.folder / "plan.json").read_text())
+        self.day: dict[str, Any] = check_day(str(self.folder / "plan.json"), told["day"])
+        self.epoch_ms: float = told["epoch_ms"]
+        self.ports: dict[str, Any] = told["ports"]
+        self.script: Script = write(self.day)
+        self.end_ms = (
+            self.epoch_ms
+            + self.day["day"].length_s * 1e3
+            + max(t.outer_ms for t in self.day["tariffs"])
+            + LATE_MS
+        )
+
+    def record(self, name: str, reactor) -> Record:
+        return Record(str(self.folder / f"{name}.jsonl"), reactor, self.epoch_ms)
+
+
+def _play(reactor, plan: Plan, who: str, happen, numbers=None) -> None:
+    now = reactor.seconds() * 1e3
+    for h in plan.script.happenings:
+        if h.who == who and (numbers is None or h.number in numbers or h.number < 0):
+            reactor.callLater(max(0.0, plan.epoch_ms + h.at_ms - now) / 1e3, happen, h)
+
+
+def _stay(reactor, plan: Plan, record: Record) -> None:
+    reactor.callLater(max(0.0, plan.end_ms - reactor.seconds() * 1e3) / 1e3, reactor.stop)
+    reactor.addSystemEventTrigger("after", "shutdown", record.close)
+
+
+def play_executors(reactor, plan: Plan, hall: int) -> None:
+    """All executors of one hall, in one process."""
+    record = plan.record(f"executors-{hall}", reactor)
+    store = StoreClient()
+    reactor.connectTCP("127.0.0.1", plan.ports["store"], store)
+    truths = {f.name: f for f in functions(plan.day)}
+    window = max([t.window_ms for t in plan.day["tariffs"] if t.effect == "stamped"] or [1.0])
+    scopes = {t.scope for t in plan.day["tariffs"] if t.effect == "stamped"}
+    groups: dict[int, Marks] = {}
+    executors = {}
+    for post in plan.script.posts:
+        if post.hall != hall:
+            continue
+        group = post.cell if scopes == {"cell"} else -1
+        marks = groups.setdefault(group, Marks(window))
+        executors[post.number] = e = Executor(
+            reactor,
+            post,
+            plan.ports["executors"][post.number],
+            plan.day,
+            plan.epoch_ms,
+            record,
+            store,
+            truths,
+            marks,
+        )
+        if post.begins_ms <= 0.0:
+            e.start(cold=False)
+
+    def happen(h) -> None:
+        for e in executors.values() if h.number < 0 else [executors[h.number]]:
+            e.happen(h)
+
+    _play(reactor, plan, "executor", happen, set(executors))
+    _stay(reactor, plan, record)
+
+
+def play_services(reactor, plan: Plan) -> None:
+    """Store and roster."""
+    record = plan.record("services", reactor)
+    terms, day = plan.day["store"], plan.day
+    store = Store(
+        reactor, terms.takes, terms.limit, terms.thrash, terms.fall_multiple, terms.fall_ms, terms.down_ms
+    )
+    factory = protocol.Factory.forProtocol(lambda: StoreProtocol(store, record))
+    factory.noisy = False
+    reactor.listenTCP(plan.ports["store"], factory, interface="127.0.0.1")
+    _play(reactor, plan, "store", lambda h: store.slow(h.size))
+    book = Book(record)
+    chance = random.Random(f"{day['day'].seed}/roster")
+    posts, fleet = {p.number: p for p in plan.script.posts}, day["fleet"]
+
+    def line(number: int, stage: str, started_ms: float) -> Line:
+        p = posts[number]
+        return Line(
+            p.name,
+            "127.0.0.1",
+            plan.ports["executors"][number],
+            fleet.halls[p.hall],
+            fleet.kinds[p.kind].name,
+            p.cell,
+            stage,
+            1.0,
+            started_ms,
+        )
+
+    for p in posts.values():
+        if p.begins_ms <= 0.0:
+            book.lines[p.name] = line(p.number, "ready", 0.0)
+    listening = [reactor.listenTCP(plan.ports["roster"], RosterFactory(book), interface="127.0.0.1")]
+    now = reactor.seconds() * 1e3
+    for h in plan.script.happenings:
+        if h.who == "executor" and h.what in ("start", "drain", "die", "leave"):
+            late = chance.uniform(*(day["roster"].add_ms if h.what == "start" else day["roster"].notice_ms))
+            stage = {"start": "ready", "drain": "draining"}.get(h.what, "gone")
+            started = plan.epoch_ms + h.at_ms if h.what == "start" else 0.0
+            reactor.callLater(
+                max(0.0, plan.epoch_ms + h.at_ms + late - now) / 1e3,
+                _tell,
+                book,
+                line(h.number, stage, started),
+                plan.epoch_ms + h.at_ms,
+            )
+        elif h.who == "roster":
+            at = max(0.0, plan.epoch_ms + h.at_ms - now) / 1e3
+            if h.what == "gap":
+                reactor.callLater(at, setattr, book, "lose_next", True)
+            elif h.what == "down":
+                reactor.callLater(at, lambda: (listening.pop().stopListening(), book.drop_all()))
+            else:
+                reactor.callLater(
+                    at,
+                    lambda: listening.append(
+                        reactor.listenTCP(plan.ports["roster"], RosterFactory(book), interface="127.0.0.1")
+                    ),
+                )
+    _stay(reactor, plan, record)
+
+
+def _tell(book: Book, line: Line, at_ms: float) -> None:
+    """What was true at that time, told now; the end of a process is old news once a later one is listed."""
+    known = book.lines.get(line.executor)
+    if line.stage != "ready":
+        if known is None or known.started_ms > at_ms:
+            return
+        line = line._replace(started_ms=known.started_ms)
+    book.change(line)
+
+
+def play_clients(reactor, plan: Plan, number: int) -> None:
+    record = plan.record(f"clients-{number}", reactor)
+    clients = Clients(reactor, plan.day, plan.ports["fronts"], number, plan.epoch_ms, record)
+    clients.start()
+    _play(reactor, plan, "client", clients.happen)
+    _stay(reactor, plan, record)
--- /dev/null
+++ b/petrelway/standin/traffic.py
@@ -0,0 +1,118 @@
+"""What clients ask for, pure: arrivals in open loop, drawn from a day with chance handed in."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+import math
+import random
+from typing import Any, NamedTuple
+
+from .script import Happening
+
+
+class FunctionTruth(NamedTuple):
+    name: str
+    memory_mb: float
+    lanes: int
+    fetch_ms: float
+    start_ms: float
+    pace: float  # its work, times the tariff's mean
+
+
+class Asked(NamedTuple):
+    """One trigger of a client, before its first try; times in ms."""
+
+    tariff: int
+    customer: int
+    function: FunctionTruth
+    front: int
+    work_ms: float
+    io_ms: float
+    hint_ms: float
+
+
+def functions(day: dict[str, Any]) -> list[FunctionTruth]:
+    """The day's functions, most popular first."""
+    draw, chance = day["functions"], random.Random(f"{day['day'].seed}/functions")
+    found = []
+    for i in range(draw.count):
+        load = chance.uniform(*draw.load_ms)
+        found.append(
+            FunctionTruth(
+                f"model-{i}",
+                chance.uniform(*draw.memory_mb),
+                chance.choice(draw.lanes),
+                load * draw.fetch_share,
+                load * (1.0 - draw.fetch_share),
+                math.exp(chance.gauss(0.0, 0.3)),
+            )
+        )
+    return found
+
+
+class Traffic:
+    """Arrivals of one client process out of `of`."""
+
+    def __init__(self, day: dict[str, Any], chance: random.Random, of: int) -> None:
+        self.day, self.chance = day, chance
+        self.traffic, self.tariffs, self.fleet = day["traffic"], day["tariffs"], day["fleet"]
+        self.rate = self.traffic.rate / of / 1e3  # a ms
+        self.functions = functions(day)
+        weights = [1.0 / (i + 1) ** day["functions"].zipf for i in range(len(self.functions))]
+        self.popular = list(itertools.accumulate(weights))
+        self.shares = [
+            self.traffic.shares.get(t.name, 0.0 if self.traffic.shares else 1.0) for t in self.tariffs
+        ]
+        self.portions = [c.portion for c in day["customers"]]
+        halls = len(self.fleet.halls)
+        self.fronts = [[f for f in range(self.fleet.fronts) if f % halls == h] for h in range(halls)]
+        self.halls = [float(len(f)) for f in self.fronts]
+        self.burst, self.scan, self.once = 1.0, 0.0, 0
+        self.heavy = (1.0, 0.0, 0)  # times, share, tariff
+        self.moving = (0.0, 0.0, 0.0, 0)  # from, until, share, hall
+
+    def happen(self, h: Happening, now: float) -> None:
+        if h.what in ("burst", "end burst"):
+            self.burst = h.size if h.what == "burst" else 1.0
+        elif h.what in ("scan", "end scan"):
+            self.scan = h.size if h.what == "scan" else 0.0
+        elif h.what in ("heavy tail", "end heavy tail"):
+            self.heavy = (
+                (h.size, h.extra, h.which % len(self.tariffs)) if h.what == "heavy tail" else (1.0, 0.0, 0)
+            )
+        elif h.what == "shift":
+            self.moving = (now, now + 1000.0, h.size, h.which % len(self.halls))
+
+    def wait(self) -> float:
+        """Until the next arrival, in ms."""
+        return self.chance.expovariate(self.rate * self.burst)
+
+    def draw(self, now: float) -> Asked:
+        chance = self.chance
+        tariff = chance.choices(range(len(self.shares)), self.shares)[0]
+        customer = chance.choices(range(len(self.portions)), self.portions)[0]
+        if chance.random() < self.scan:
+            self.once += 1
+            f = FunctionTruth(f"once-{chance.getrandbits(40):x}", 300.0, 4, 350.0, 150.0, 1.0)
+        else:
+            f = self.functions[bisect.bisect_left(self.popular, chance.random() * self.popular[-1])]
+        work = self.traffic.work.get(self.tariffs[tariff].name)
+        mean, cv, io = (work.mean_ms, work.cv, work.io_ms) if work else (150.0, 0.7, 0.0)
+        sigma = math.sqrt(math.log(1.0 + cv * cv))
+        work_ms = mean * f.pace * math.exp(chance.gauss(-sigma * sigma / 2, sigma))
+        times, share, heavy = self.heavy
+        if tariff == heavy and chance.random() < share:
+            work_ms *= times
+        hint = (
+            work_ms * math.exp(chance.gauss(0.0, self.traffic.hint_cv)) if self.traffic.hint_cv < 4 else 0.0
+        )
+        return Asked(tariff, customer, f, self._front(now), work_ms, io, hint)
+
+    def _front(self, now: float) -> int:
+        begin, end, share, hall = self.moving
+        if end and self.chance.random() < share * min(1.0, max(0.0, (now - begin) / (end - begin))):
+            fronts = self.fronts[hall] or [0]
+        else:
+            fronts = self.chance.choices(self.fronts, self.halls)[0]
+        return self.chance.choice(fronts)
--- /dev/null
+++ b/petrelway/wire/listing.py
@@ -0,0 +1,86 @@
+"""The roster's protocol: bytes to calls, lines to bytes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from google.protobuf.message import DecodeError
+
+from . import roster_pb2 as pb
+from .framing import WireFault, frame
+
+VERSION = 1
+LINES_BOUND = 10_000  # executors in one list
+STAGES = ("ready", "draining", "gone")
+
+
+class Line(NamedTuple):
+    """One executor process as the roster names it; `started_ms` is wall-clock time, 0 for long ago."""
+
+    executor: str
+    address: str
+    port: int
+    hall: str
+    machine: str
+    cell: int
+    stage: str
+    weight: float
+    started_ms: float
+
+
+def follow(front_end: str, process: str) -> bytes:
+    return frame(pb.FromFollower(version=VERSION, front_end=front_end, process=process).SerializeToString())
+
+
+def listed(serial: int, complete: bool, lines: Iterable[Line]) -> bytes:
+    message = pb.FromRoster(version=VERSION, serial=serial, complete=complete)
+    for line in lines:
+        message.lines.add(**line._replace(stage=STAGES.index(line.stage))._asdict())
+    return frame(message.SerializeToString())
+
+
+def from_follower(payload: bytes) -> tuple[str, str]:
+    """Name and process of a front end that follows. Raises WireFault."""
+    message = _parse(pb.FromFollower(), payload)
+    return message.front_end, message.process
+
+
+def from_roster(payload: bytes) -> tuple[int, bool, list[Line]]:
+    """Serial, whether the list is complete, and its lines. Raises WireFault."""
+    message = _parse(pb.FromRoster(), payload)
+    if len(message.lines) > LINES_BOUND:
+        raise WireFault(f"a list of {len(message.lines)} lines is over the bound of {LINES_BOUND}")
+    lines = []
+    for m in message.lines:
+        if m.stage >= len(STAGES):
+            raise WireFault(f"executor {m.executor!r} has stage {m.stage}; allowed 0 to {len(STAGES) - 1}")
+        if not 0 < m.port < 65536 or not m.executor:
+            raise WireFault(f"executor {m.executor!r} at port {m.port}")
+        if not (math.isfinite(m.weight) and math.isfinite(m.started_ms)):
+            raise WireFault(f"executor {m.executor!r} has weight {m.weight}, start {m.started_ms}")
+        lines.append(
+            Line(
+                m.executor,
+                m.address,
+                m.port,
+                m.hall,
+                m.machine,
+                m.cell,
+                STAGES[m.stage],
+                m.weight,
+                m.started_ms,
+            )
+        )
+    return message.serial, message.complete, lines
+
+
+def _parse(message, payload: bytes):
+    try:
+        message.ParseFromString(payload)
+    except DecodeError as error:
+        raise WireFault(f"{len(payload)} bytes that are no message: {error}") from error
+    if message.version != VERSION:
+        raise WireFault(f"version {message.version} of the roster protocol; this side speaks {VERSION}")
+    return message
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,294 @@
+"""The host between the module and the links: one answer however they race, and each decision carried out."""
+
+import random
+
+from doubles import Heard, Log, Net, clock, lost
+from twisted.internet import defer
+
+from petrelway.choice import FrontEnd
+from petrelway.front.host import FAILURES_BOUND, Function, Host
+from petrelway.interface import (
+    ColdRule,
+    Customer,
+    Effect,
+    Keeping,
+    LoadRation,
+    Outcome,
+    Permits,
+    Place,
+    Scope,
+    Tariff,
+)
+from petrelway.wire import codec
+from petrelway.wire.listing import Line
+
+F = Function("f", 100.0, 2, 500.0)
+
+
+class Rig:
+    def __init__(
+        self,
+        executors=2,
+        effect=Effect.HARMLESS,
+        misses=False,
+        kind=FrontEnd,
+        ration=(0.0, 0.0, 0.0),
+        sends=3,
+    ):
+        self.clock, self.net, self.log = clock(), Net(), Log()
+        module = kind(
+            self.clock.seconds() * 1e3,
+            3,
+            Place(0, 1, 0),
+            [Tariff(effect, Scope.ALL, 4000.0, 1000.0, 3000.0, 1.0, 0.1)],
+            [Customer(1.0, 50.0)],
+            Permits(sends, True, True, False, False, 500.0),
+            Keeping(misses, True, 8000.0, 5000.0, 0.0),
+            ColdRule(4.0, 1500.0, 0.2, 10000.0),
+            LoadRation(*ration),
+        )
+        self.host = Host(
+            self.clock,
+            module,
+            "front",
+            "p",
+            ["t"],
+            ["c"],
+            ["a"],
+            ["quad"],
+            5000.0,
+            self.net.connect,
+            random.Random(1),
+            self.log,
+        )
+        self.executors, self.answers = {}, {}
+        self.lists(dict.fromkeys(range(executors), "ready"))
+        for e in range(executors):
+            wire, pipe = self.net.accept()
+            self.executors[e] = wire, Heard(pipe)
+            wire.dataReceived(codec.welcome(f"e{e}", "q", "quad", 0.0))
+        self.step()
+
+    def lists(self, stages, complete=True):
+        self.host.executors_listed(
+            [
+                Line(f"e{e}", "127.0.0.1", 7000 + e, "a", "quad", 0, stage, 1.0, 0.0)
+                for e, stage in stages.items()
+            ],
+            complete,
+        )
+
+    def step(self, ms=0.0):
+        for _ in range(max(1, int(ms / 5))):
+            self.clock.advance(min(ms, 5.0) / 1e3)
+
+    def take(self, remaining=3000.0, function=F):
+        answer = self.host.take(0, 0, function, f"m{self.host.serial}", remaining, 100.0, False, "", b"body")
+        got = self.answers[self.host.serial] = []
+        answer.addCallbacks(got.append, lambda failure: got.append(failure.type))
+        return self.host.serial, answer
+
+    def said(self, kind):
+        """What all executors heard of a kind since the last look, with the executor."""
+        return [
+            (e, *words[1:])
+            for e, (_, heard) in self.executors.items()
+            for words in heard.pull()
+            if words[0] == kind
+        ]
+
+    def sent(self):
+        return self.said("sent")
+
+    def end(self, executor, serial, outcome, number=0, warmth=1):
+        self.executors[executor][0].dataReceived(
+            codec.ended(serial, number, outcome, warmth, 0, codec.Load(), "text/plain", b"done")
+        )
+
+    def kinds(self, serial):
+        return [a if isinstance(a, type) else a.kind for a in self.answers[serial]]
+
+
+def test_the_ordinary_way():
+    rig = Rig()
+    serial, _ = rig.take()
+    assert rig.sent() == []  # inputs of one turn first
+    rig.step()
+    ((executor, *_),) = rig.sent()
+    rig.end(executor, serial, Outcome.FULFILLED)
+    assert rig.kinds(serial) == ["fulfilled"] and rig.answers[serial][0].body == b"done"
+    assert rig.answers[serial][0].executor == f"e{executor}"
+    rig.step(20.0)
+    assert rig.host.taken == {} and rig.host.owed == 0 and rig.host.triggers.index == {}
+
+
+def test_one_answer_however_they_race():
+    # what happens after the send, in order; kinds of answers
+    def fulfilled(rig, serial, e, answer):
+        rig.end(e, serial, Outcome.FULFILLED)
+
+    def gone(rig, serial, e, answer):
+        answer.cancel()
+
+    def broken(rig, serial, e, answer):
+        rig.executors[e][0].connectionLost(lost())
+
+    def over(rig, serial, e, answer):
+        rig.step(3100.0)
+
+    def step(rig, serial, e, answer):
+        rig.step(5.0)
+
+    table = [
+        ([fulfilled, gone], ["fulfilled"]),
+        ([gone, fulfilled], [defer.CancelledError]),
+        ([gone, step, fulfilled], [defer.CancelledError]),
+        ([fulfilled, fulfilled, broken, over], ["fulfilled"]),
+        ([over], ["nacked"]),
+        ([over, fulfilled, gone], ["nacked"]),
+        ([broken, over], ["nacked"]),
+        ([fulfilled, over], ["fulfilled"]),
+        ([gone, over, fulfilled], [defer.CancelledError]),
+    ]
+    for events, expected in table:
+        rig = Rig(sends=1)
+        serial, answer = rig.take()
+        rig.step()
+        ((e, *_),) = rig.sent()
+        for event in events:
+            event(rig, serial, e, answer)
+        rig.step(10.0)
+        assert rig.kinds(serial) == expected, [event.__name__ for event in events]
+        rig.step(50.0)
+        assert rig.host.owed == 0 and rig.host.taken == {}, [event.__name__ for event in events]
+
+
+def test_random_races_leave_nothing_owed():
+    for seed in range(25):
+        chance = random.Random(seed)
+        rig = Rig(executors=3, effect=chance.choice(list(Effect)), misses=chance.random() < 0.4)
+        out, deferreds = [], []
+        for _ in range(120):
+            what = chance.randrange(6)
+            if what <= 1:
+                deferreds.append(
+                    rig.take(chance.choice([50.0, 800.0, 3000.0]), F._replace(name=chance.choice("fgh")))
+                )
+            elif what == 2 and out:
+                e, serial, number, _ = out.pop(chance.randrange(len(out)))
+                rig.end(e, serial, chance.choice([0, 0, 0, 1, 2, 8]), number, chance.choice([0, 1, 2, 4]))
+            elif what == 3 and deferreds and chance.random() < 0.3:
+                chance.choice(deferreds)[1].cancel()
+            elif what == 4 and chance.random() < 0.1:
+                rig.lists({e: chance.choice(["ready", "draining"]) for e in range(3)}, chance.random() < 0.5)
+            else:
+                rig.step(chance.choice([0.0, 10.0, 60.0]))
+            out += rig.sent()
+        rig.step(3200.0)
+        assert all(len(got) == 1 for got in rig.answers.values()), seed
+        assert rig.host.owed == 0
+        for e, serial, number, _ in out + rig.sent():
+            rig.end(e, serial, 0, number)
+        rig.step(50.0)
+        assert rig.host.taken == {} and rig.host.triggers.index == {}, seed
+
+
+def test_miss_order_and_send_again():
+    rig = Rig(executors=1, misses=True)
+    serial, _ = rig.take()
+    rig.step()
+    assert len(rig.sent()) == 1
+    rig.end(0, serial, Outcome.MISS, warmth=0)
+    rig.step()
+    ((_, id, function, copies),) = rig.said("ordered")
+    assert (function, copies) == ("f", 1)
+    rig.executors[0][0].dataReceived(codec.stood(id, 0, 1))
+    rig.step()
+    ((_, again, number, _),) = rig.sent()
+    assert (again, number) == (serial, 1)
+    rig.end(0, serial, Outcome.FULFILLED, number)
+    assert rig.kinds(serial) == ["fulfilled"]
+
+
+def test_an_order_unanswered_times_out():
+    rig = Rig(executors=1, misses=True)
+    serial, _ = rig.take()
+    rig.step()
+    rig.end(0, serial, Outcome.MISS, warmth=0)
+    rig.step(5100.0)
+    assert rig.host.orders == {} and rig.host.counts["order timeout"] == 1
+    assert rig.host.links[0].orders == {} and rig.kinds(serial) == ["nacked"]
+
+
+def test_links_follow_the_list():
+    rig = Rig(executors=2)
+    rig.lists({1: "gone"}, complete=False)
+    rig.step()
+    for _ in range(3):
+        rig.take()
+    rig.step()
+    assert {e for e, *_ in rig.sent()} == {0}
+    rig.step(7000.0)  # the module forgets a gone executor; its index and its link go
+    assert list(rig.host.links) == [0] and "e1" not in rig.host.executors.index
+
+
+class Sick(FrontEnd):
+    """Decisions that fail for one function, and for all while `ill`."""
+
+    ill = False
+
+    def choose(self, t, now):
+        if self.ill or t.function.memory_sick:
+            raise ZeroDivisionError("sick")
+        return super().choose(t, now)
+
+    def function_named(self, now, function, stable, *rest):
+        super().function_named(now, function, stable, *rest)
+        self.functions[function].memory_sick = stable == "sick"
+
+
+def test_a_decision_that_fails_ends_its_trigger_only():
+    rig = Rig(kind=Sick)
+    sick, _ = rig.take(function=F._replace(name="sick"))
+    well, _ = rig.take()
+    rig.step()
+    assert rig.kinds(sick) == ["broken off"] and "decision failed" in rig.log.events()
+    assert rig.log.lines[0][1]["function"] == "sick"
+    ((e, serial, *_),) = rig.sent()
+    assert serial == well
+    rig.end(e, well, Outcome.FULFILLED)
+    rig.step(20.0)
+    assert rig.kinds(well) == ["fulfilled"] and rig.host.taken == {}
+
+
+def test_decisions_that_keep_failing_break_off_what_is_owed():
+    rig = Rig(kind=Sick)
+    rig.host.front_end.ill = True
+    for _ in range(FAILURES_BOUND + 20):
+        rig.take()
+    rig.step(50.0)
+    assert all(rig.kinds(s) == ["broken off"] for s in rig.answers) and rig.host.owed == 0
+    rig.host.front_end.ill = False
+    rig.step(50.0)
+    serial, _ = rig.take()
+    rig.step()
+    ((e, *_),) = rig.sent()
+    rig.end(e, serial, Outcome.FULFILLED)
+    assert rig.kinds(serial) == ["fulfilled"]
+
+
+def test_the_end():
+    rig = Rig()
+    first, _ = rig.take()
+    rig.step()
+    ((e, *_),) = rig.sent()
+    idle = []
+    rig.host.nothing_owed().addCallback(lambda _: idle.append(True))
+    assert not idle
+    rig.end(e, first, Outcome.FULFILLED)
+    assert idle
+    second, _ = rig.take()
+    rig.step()
+    rig.sent()
+    rig.host.close()
+    assert rig.kinds(second) == ["broken off"] and rig.clock.getDelayedCalls() == []
