--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -37,7 +37,7 @@
 @click.option("--record", type=click.Path(), help="Keep the record in this folder.")
 @click.option(
     "--policy",
-    type=click.Choice(["petrelway", "random", "least-loaded"]),
+    type=click.Choice(["petrelway", "random", "least-loaded", "pass-through"]),
     default="petrelway",
     show_default=True,
     help="petrelway, or a baseline to compare with.",
--- a/petrelway/front/intake.py
+++ b/petrelway/front/intake.py
@@ -51,7 +51,7 @@
         if self.over:
             return
         self.over = True
-        self.site.refused(413)
+        self.channel.site.refused(413)
         problem = _problem(413, "body", "more", f"{BODY_BOUND} bytes at most")
         self.channel.transport.write(
             b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/problem+json\r\n"
--- a/petrelway/rehearsal/baselines.py
+++ b/petrelway/rehearsal/baselines.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Iterable
+
 from ..choice import Executor, FrontEnd, Trigger
+from ..interface import Decision, Listing, Released, Stage, Verb
 
 
 class RandomChoice(FrontEnd):
@@ -26,4 +30,73 @@
         return min(fit, key=lambda e: (len(e.out), self.chance.random())) if fit else None
 
 
-POLICIES = {"petrelway": FrontEnd, "random": RandomChoice, "least-loaded": LeastLoaded}
+class PassThrough:
+    """No module at all, in the module's shape: round robin, one transmission. For benchmarks."""
+
+    def __init__(self, now: float, *_: object) -> None:
+        self.executors: list[int] = []
+        self.turn = 0
+        self.todo: deque[Decision] = deque()
+        self.done = Released([], [], [])
+
+    def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
+        told = {x.executor: x.stage is Stage.READY for x in listings}
+        kept = [] if complete else [e for e in self.executors if e not in told]
+        self.executors = kept + [e for e, ready in told.items() if ready]
+
+    def function_named(self, *_: object) -> None:
+        pass
+
+    def trigger_taken(
+        self,
+        now: float,
+        trigger: int,
+        tariff: int,
+        customer: int,
+        function: int,
+        remaining_ms: float,
+        *_: object,
+    ) -> None:
+        if not self.executors:
+            self.todo.append(Decision(Verb.NACK, trigger))
+            self.done.triggers.append(trigger)
+            return
+        self.turn = (self.turn + 1) % len(self.executors)
+        self.todo.append(Decision(Verb.SEND, trigger, self.executors[self.turn]))
+
+    def transmission_ended(
+        self,
+        now: float,
+        trigger: int,
+        number: int,
+        outcome: object,
+        took_ms: float,
+        finished: bool,
+        *_: object,
+    ) -> None:
+        if not finished:
+            self.todo.append(Decision(Verb.BREAK_OFF, trigger))
+        self.done.triggers.append(trigger)
+
+    def order_answered(self, *_: object) -> None:
+        pass
+
+    client_gone = time_passed = order_answered
+
+    def failed(self) -> int:
+        return -1
+
+    def decide(self, now: float) -> Decision | None:
+        return self.todo.popleft() if self.todo else None
+
+    def released(self) -> Released:
+        done, self.done = self.done, Released([], [], [])
+        return done
+
+
+POLICIES = {
+    "petrelway": FrontEnd,
+    "random": RandomChoice,
+    "least-loaded": LeastLoaded,
+    "pass-through": PassThrough,
+}
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -127,7 +127,7 @@
         tree: dict[str, Any],
         policy: str,
         progress: Callable[[float, str], None],
-        level: str = "warning",
+        level: str = "info",
     ) -> None:
         self.reactor, self.folder, self.policy, self.progress = reactor, folder, policy, progress
         self.plan = Plan(folder)
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,292 @@
+"""The HTTP side: what is taken, what is refused and how, and that nothing refused was taken."""
+
+import json
+import random
+import time
+
+import pytest
+from doubles import Log, Net, clock, lost
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet import address, defer
+from twisted.internet.testing import StringTransport
+
+from petrelway.events.single import ATTRIBUTES_BOUND, EventFault, read
+from petrelway.front.ask import Ask, Asks, Catalogue
+from petrelway.front.backoff import Backoff
+from petrelway.front.host import BROKEN_OFF, FULFILLED, NACKED, Answer, Function
+from petrelway.front.intake import BODY_BOUND, Intake
+from petrelway.front.roster import Follower
+from petrelway.interface import Warmth
+from petrelway.wire import listing
+
+CATALOGUE = Catalogue([Function("f", 100.0, 2, 0.0), Function("station-*", 50.0, 4, 0.0)])
+ASKS = Asks({"t": 3000.0, "u": 6000.0}, ["north", "south"], CATALOGUE)
+GOOD = {
+    "specversion": "1.0",
+    "id": "1",
+    "source": "/gw",
+    "type": "reading",
+    "tariff": "t",
+    "customer": "north",
+    "function": "f",
+}
+
+
+class Rig:
+    def __init__(self, open_bound=10, connections_bound=10):
+        self.taken, self.owed, self.log = [], 0, Log()
+        self.intake = Intake(
+            ASKS, self._take, lambda: self.owed, self.log, open_bound, connections_bound, reactor=clock()
+        )
+        self.connect()
+
+    def connect(self):
+        self.channel = self.intake.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 1))
+        if self.channel is not None:
+            self.pipe = HttpPipe()
+            self.channel.makeConnection(self.pipe)
+        return self.channel
+
+    def _take(self, ask: Ask, content_type, body):
+        answer = defer.Deferred(lambda d: self.cancelled.append(ask))
+        self.cancelled = []
+        self.taken.append((ask, content_type, body, answer))
+        return answer
+
+    def post(self, headers, body=b"", method="POST", length=None):
+        head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+        size = len(body) if length is None else length
+        self.channel.dataReceived(
+            f"{method} /triggers HTTP/1.1\r\nhost: x\r\ncontent-length: {size}\r\n{head}\r\n".encode() + body
+        )
+        return self.response()
+
+    def event(self, changes=None, body=b"{}"):
+        told = {**GOOD, **(changes or {})}
+        return self.post(
+            {f"ce-{k}": v for k, v in told.items() if v is not None} | {"content-type": "application/json"},
+            body,
+        )
+
+    def response(self):
+        head, _, body = self.pipe.take().partition(b"\r\n\r\n")
+        if not head:
+            return None
+        status, *lines = head.decode().split("\r\n")
+        return int(status.split()[1]), {k.lower(): v for k, v in (x.split(": ", 1) for x in lines)}, body
+
+
+class HttpPipe(StringTransport):
+    closed = property(lambda self: self.disconnecting or self.disconnected)
+
+    def take(self):
+        data = self.value()
+        self.clear()
+        return data
+
+
+def test_answers_are_told_apart():
+    table = [
+        (Answer(FULFILLED, 0.0, "text/plain", b"ok", "e1", Warmth.FOUND), 200, {"petrelway-warmth": "found"}),
+        (Answer(NACKED, 230.4), 503, {"retry-after": "1", "petrelway-retry-ms": "231"}),
+        (Answer(NACKED), 503, {"retry-after": None}),
+        (Answer(BROKEN_OFF), 502, {"retry-after": None}),
+    ]
+    rig = Rig()
+    for answer, status, headers in table:
+        assert rig.event(body=b"7") is None
+        ask, content_type, body, deferred = rig.taken.pop()
+        assert (ask.function.name, ask.mark, ask.remaining_ms, body) == ("f", "/gw\n1", 3000.0, b"7")
+        deferred.callback(answer)
+        got, told, _ = rig.response()
+        assert got == status and told["petrelway-outcome"] == answer.kind
+        assert all(told.get(k) == v for k, v in headers.items())
+
+
+def test_refused_and_not_taken():
+    # changed attributes, status, a word of the detail
+    table = [
+        ({"tariff": "x"}, 422, "tariff: found 'x'; allowed: one of t, u"),
+        ({"tariff": None}, 422, "tariff"),
+        ({"function": "nope"}, 422, "function"),
+        ({"customer": "east"}, 422, "customer"),
+        ({"timeleft": "soon"}, 400, "timeleft"),
+        ({"timeleft": "0"}, 422, "more than 0"),
+        ({"timeleft": "nan"}, 400, "timeleft"),
+        ({"workhint": "-1"}, 400, "workhint"),
+        ({"repeat": "yes"}, 400, "true or false"),
+        ({"specversion": "0.3"}, 400, "specversion"),
+        ({"id": None}, 400, "id"),
+        ({"source": None}, 400, "source"),
+        ({"Bad_Name": "1"}, 400, "lower-case"),
+        ({"id": "x" * 600}, 400, "512 at most"),
+        ({"subject": "x" * 2000}, 400, "1024 at most"),
+        ({"subject": "%ff"}, 400, "percent-encoded"),
+    ]
+    for changes, status, word in table:
+        rig = Rig()
+        got, headers, body = rig.event(changes)
+        assert got == status and headers["content-type"] == "application/problem+json", changes
+        assert word in json.loads(body)["detail"], (changes, body)
+        assert not rig.taken and rig.intake.counts[f"refused {status}"] == 1
+    assert Rig().post({}, method="GET")[0] == 405
+    assert Rig().post({"content-type": "application/cloudevents-batch+json"}, b"[]")[0] == 415
+    many = {f"a{i}": "1" for i in range(ATTRIBUTES_BOUND + 1)}
+    assert Rig().event(many)[0] == 400
+
+
+def test_bodies_over_the_bound_are_cut_off():
+    rig = Rig()
+    assert rig.post({}, b"", length=BODY_BOUND + 1)[0] == 413
+    assert rig.pipe.closed and not rig.taken
+    rig = Rig()
+    rig.channel.dataReceived(b"POST /triggers HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+    for _ in range(6):
+        rig.channel.dataReceived(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+    assert rig.response()[0] == 413 and rig.pipe.closed and not rig.taken
+
+
+def test_bounds_on_triggers_and_connections():
+    rig = Rig(open_bound=2, connections_bound=2)
+    rig.owed = 2
+    status, headers, _ = rig.event()
+    assert status == 503 and headers["petrelway-taken"] == "no" and headers["petrelway-retry-ms"] == "250"
+    first = rig.channel
+    assert rig.connect() is not None and rig.connect() is None
+    first.connectionLost(lost())
+    assert rig.connect() is not None and rig.intake.counts["connections over the bound"] == 1
+
+
+def test_leaving_and_gone_clients():
+    rig = Rig()
+    rig.event()
+    rig.channel.connectionLost(lost())
+    assert len(rig.cancelled) == 1 and rig.log.lines == []
+    rig.connect()
+    rig.intake.leaving = True
+    status, headers, _ = rig.event()
+    assert status == 503 and headers["petrelway-taken"] == "no" and len(rig.taken) == 1
+
+
+def test_structured_mode():
+    def structured(**changes):
+        return json.dumps({k: v for k, v in {**GOOD, **changes}.items() if v is not None}).encode()
+
+    # body; content type and data, or a word of the refusal
+    table = [
+        (structured(data={"a": 1}), ("application/json", b'{"a":1}')),
+        (structured(data="x", datacontenttype="text/plain"), ("text/plain", b"x")),
+        (structured(data="x"), ("application/json", b'"x"')),
+        (structured(data_base64="aGk="), ("application/json", b"hi")),
+        (structured(), ("application/json", b"")),
+        (structured(workhint=3, repeat=True, data=False), ("application/json", b"false")),
+        (structured(data=1, data_base64="aGk="), "one of"),
+        (structured(data_base64="%"), "base64"),
+        (structured(subject=["a"]), "a string"),
+        (b"[]", "one event"),
+        (b"{", "no JSON"),
+        (b"\xff", "no JSON"),
+        (structured(UP="1"), "lower-case"),
+    ]
+    for body, expected in table:
+        if isinstance(expected, tuple):
+            event = read({"content-type": "application/cloudevents+json; charset=utf-8"}, body)
+            assert (event.content_type, event.data) == expected
+            assert ASKS.read(event).function.name == "f"
+        else:
+            with pytest.raises(EventFault, match=expected):
+                read({"content-type": "application/cloudevents+json"}, body)
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.dictionaries(
+        st.sampled_from(["ce-id", "ce-source", "ce-type", "ce-specversion", "ce-x", "content-type"]),
+        st.text(max_size=30),
+    ),
+    st.binary(max_size=80),
+    st.booleans(),
+)
+def test_any_request_is_an_event_or_one_fault(headers, body, structured):
+    if structured:
+        headers["content-type"] = "application/cloudevents+json"
+    try:
+        ASKS.read(read(headers, body))
+    except EventFault as fault:
+        assert fault.status in (400, 415, 422) and fault.allowed
+
+
+def test_catalogue():
+    assert CATALOGUE.find("station-9") == Function("station-9", 50.0, 4, 0.0)
+    assert CATALOGUE.find("f").memory_mb == 100.0 and CATALOGUE.find("other") is None
+    began = time.process_time()
+    assert CATALOGUE.find("station-" + "a" * 400) is not None and time.process_time() - began < 1.0
+
+
+class RosterRig:
+    def __init__(self):
+        self.clock, self.net, self.log, self.heard = clock(), Net(), Log(), []
+        self.follower = Follower(
+            "front",
+            "p",
+            "127.0.0.1",
+            1,
+            self.clock,
+            self.net.connect,
+            random.Random(1),
+            lambda lines, complete: self.heard.append((len(lines), complete)),
+            self.log,
+        )
+
+    def tell(self, serial, complete, count=1):
+        lines = [
+            listing.Line(f"e{i}", "127.0.0.1", 7000, "a", "q", 0, "ready", 1.0, 0.0) for i in range(count)
+        ]
+        self.wire.dataReceived(listing.listed(serial, complete, lines))
+
+    def up(self):
+        while not self.net.dialled:
+            self.clock.advance(0.01)
+        self.wire, self.pipe = self.net.accept()
+
+
+def test_roster_gaps_and_outages():
+    # lists told by serial and completeness; how many are heard before the link is closed for a gap, or None
+    table = [
+        ([(5, True), (6, False), (7, False)], 3, False),
+        ([(5, True), (7, False)], 1, True),
+        ([(5, False)], 0, True),
+        ([(5, True), (5, False)], 1, True),
+        ([(5, True), (9, True), (10, False)], 3, False),
+    ]
+    for told, heard, gap in table:
+        rig = RosterRig()
+        rig.up()
+        for serial, complete in told:
+            rig.tell(serial, complete)
+        assert (len(rig.heard), rig.pipe.aborted) == (heard, gap), told
+    rig = RosterRig()
+    rig.up()
+    rig.tell(5, True, 3)
+    rig.tell(7, False)  # a change was lost: the old list holds
+    rig.wire.connectionLost(lost())
+    assert rig.heard == [(3, True)] and "gap" in rig.log.lines[0][1]["reason"]
+    rig.up()
+    rig.tell(7, True, 2)
+    assert rig.heard[-1] == (2, True) and rig.log.events() == ["roster down", "roster up"]
+    rig.follower.close()
+    rig.wire.connectionLost(lost())
+    assert rig.clock.getDelayedCalls() == []
+    rig = RosterRig()
+    rig.net.refuse()
+    rig.follower.close()
+    assert rig.clock.getDelayedCalls() == []
+
+
+def test_backoff_has_a_bound_and_a_phase():
+    one, other = Backoff(random.Random(1), 50.0, 400.0), Backoff(random.Random(2), 50.0, 400.0)
+    waits = [one.failed() for _ in range(8)]
+    assert max(waits) <= 400.0 and waits != [other.failed() for _ in range(8)]
+    one.succeeded()
+    assert one.failed() <= 50.0
