--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -77,14 +77,16 @@
         log,
         kind: Callable[..., FrontEnd] = FrontEnd,
         meter: Callable[[], float] | None = None,
+        process: str = "",
     ) -> None:
         self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
+        self.process = process or uuid.uuid4().hex[:12]
         self.port: interfaces.IListeningPort | None = None
 
     def startService(self) -> None:
         """Raises twisted.internet.error.CannotListenError if the port is taken."""
         found, place, fleet = self.found, self.found["front_end"], self.found["fleet"]
-        process = uuid.uuid4().hex[:12]
+        process = self.process
         chance = random.Random(f"{place.seed}/{place.name}/links")
         now = self.reactor.seconds() * 1e3
         self.host = Host(
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -16,6 +16,7 @@
 from twisted.internet import defer, error, protocol
 
 from ..standin.parts import Plan
+from ..standin.traffic import functions
 
 LEAD_MS = 3500.0  # from the plan to the day's beginning: processes start in it
 PORTS = range(20_000, 32_000)  # below the range that connections draw theirs from
@@ -59,32 +60,39 @@
     (folder / "plan.json").write_text(json.dumps(plan))
 
 
+def front_settings(
+    plan: Plan, tree: dict[str, Any], number: int, log: dict[str, str] | None = None
+) -> dict[str, Any]:
+    """The settings of one front end of a day, as its file would say them."""
+    day, fleet = plan.day, plan.day["fleet"]
+    told = [{"name": f.name, "memory_mb": f.memory_mb, "lanes": f.lanes} for f in functions(day)]
+    settings = {
+        "front_end": {
+            "name": f"front-{number}",
+            "hall": fleet.halls[number % len(fleet.halls)],
+            "number": number,
+            "peers": fleet.fronts,
+            "seed": day["day"].seed % 1_000_000 * 1000 + number,
+        },
+        "listen": {"port": plan.ports["fronts"][number]},
+        "roster": {"port": plan.ports["roster"]},
+        "fleet": {"halls": fleet.halls, "machines": [k.name for k in fleet.kinds]},
+        "functions": [*told, {"name": "once-*", "memory_mb": 300.0, "lanes": 4}],
+        "log": log or {},
+    }
+    for section in ("tariffs", "customers", "permits", "keeping", "cold", "ration"):
+        if section in tree:
+            settings[section] = tree[section]
+    return settings
+
+
 def write_fronts(plan: Plan, tree: dict[str, Any], level: str) -> list[Path]:
     """Settings of each front end, as a file of its own."""
-    from ..standin.traffic import functions
-
-    day, fleet, files = plan.day, plan.day["fleet"], []
-    told = [{"name": f.name, "memory_mb": f.memory_mb, "lanes": f.lanes} for f in functions(day)]
-    for i in range(fleet.fronts):
-        settings = {
-            "front_end": {
-                "name": f"front-{i}",
-                "hall": fleet.halls[i % len(fleet.halls)],
-                "number": i,
-                "peers": fleet.fronts,
-                "seed": day["day"].seed * 1000 + i,
-            },
-            "listen": {"port": plan.ports["fronts"][i]},
-            "roster": {"port": plan.ports["roster"]},
-            "fleet": {"halls": fleet.halls, "machines": [k.name for k in fleet.kinds]},
-            "functions": [*told, {"name": "once-*", "memory_mb": 300.0, "lanes": 4}],
-            "log": {"file": str(plan.folder / f"front-{i}.log"), "level": level},
-        }
-        for section in ("tariffs", "customers", "permits", "keeping", "cold", "ration"):
-            if section in tree:
-                settings[section] = tree[section]
+    files = []
+    for i in range(plan.day["fleet"].fronts):
+        log = {"file": str(plan.folder / f"front-{i}.log"), "level": level}
         files.append(plan.folder / f"front-{i}.json")
-        files[-1].write_text(json.dumps(settings, indent=1))
+        files[-1].write_text(json.dumps(front_settings(plan, tree, i, log), indent=1))
     return files
 
 
@@ -141,7 +149,9 @@
 
     def _spawn(self, name: str, *words: str) -> Part:
         part = Part(name, self.folder)
-        self.reactor.spawnProcess(part, sys.executable, [sys.executable, "-m", "petrelway", *words], env=None)
+        self.reactor.spawnProcess(
+            part, sys.executable, [sys.executable, "-m", "petrelway", *words], env=None
+        )
         self.parts.append(part)
         part.ended.addCallback(self._ended, part)
         return part
--- /dev/null
+++ b/petrelway/rehearsal/inmemory.py
@@ -0,0 +1,161 @@
+"""A day in a world in memory: the same parts as on sockets, one seed, the same record every time."""
+
+from __future__ import annotations
+
+import io
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet import defer
+
+from ..choice import FrontEnd
+from ..front.service import FrontEndService
+from ..settings.days import check_day
+from ..settings.front import check_front_end
+from ..standin.memory import Process, World
+from ..standin.parts import play_clients, play_executors, play_services
+from ..standin.records import Record
+from ..standin.script import write
+from .conductor import front_settings
+
+LEAD_MS = 3000.0
+
+
+class Lines(Record):
+    """A record kept in memory, under the name that its file would have."""
+
+    def __init__(self, name: str, clock, epoch_ms: float) -> None:
+        self.name, self.file = name, io.BytesIO()
+        self.clock, self.epoch_ms = clock, epoch_ms
+        self.encode = msgspec.json.Encoder().encode
+
+    def close(self) -> None:
+        pass
+
+    def lines(self) -> list[dict[str, Any]]:
+        found = [msgspec.json.decode(x) for x in self.file.getvalue().splitlines()]
+        for line in found:
+            line["_file"] = self.name
+            if self.name.startswith("clients-"):
+                line["_source"] = f"/gateway/{self.name.removeprefix('clients-')}"
+        return found
+
+
+class Quiet:
+    """A log that keeps warnings and worse for the one who asks."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, str, dict]] = []
+
+    def _ignore(self, event: str, **what) -> None:
+        pass
+
+    debug = info = _ignore
+
+    def warning(self, event: str, **what) -> None:
+        self.lines.append(("warning", event, what))
+
+    def error(self, event: str, **what) -> None:
+        self.lines.append(("error", event, what))
+
+    critical = error
+
+
+class MemoryPlan:
+    """As `standin.parts.Plan`, without files."""
+
+    def __init__(self, tree: dict[str, Any], epoch_ms: float) -> None:
+        self.day = check_day("(in memory)", tree)
+        self.epoch_ms = epoch_ms
+        self.script = write(self.day)
+        fronts = self.day["fleet"].fronts
+        self.ports = {
+            "store": 1,
+            "roster": 2,
+            "fronts": list(range(10, 10 + fronts)),
+            "executors": list(range(1000, 1000 + len(self.script.posts))),
+        }
+        self.end_ms = (
+            epoch_ms
+            + self.day["day"].length_s * 1e3
+            + max(t.outer_ms for t in self.day["tariffs"])
+            + 2000.0
+        )
+        self.records: list[Lines] = []
+
+    def record(self, name: str, reactor) -> Lines:
+        self.records.append(Lines(name, reactor, self.epoch_ms))
+        return self.records[-1]
+
+    def lines(self) -> list[dict[str, Any]]:
+        return sorted((x for record in self.records for x in record.lines()), key=lambda x: x["t"])
+
+
+class MemoryDay:
+    """One playing. `kind` is the module, a baseline, or a front end that breaks a rule on purpose."""
+
+    def __init__(
+        self, tree: dict[str, Any], kind: Callable[..., FrontEnd] = FrontEnd, latency_ms: float = 0.2
+    ) -> None:
+        self.world = World(latency_ms=latency_ms)
+        self.tree, self.kind, self.log = tree, kind, Quiet()
+        self.plan = plan = MemoryPlan(tree, self.world.now_s * 1e3 + LEAD_MS)
+        self.record = plan.record("conductor", Process(self.world, "conductor"))
+        self.fronts: dict[int, tuple[Process, FrontEndService]] = {}
+        self.starts = 0
+        play_services(Process(self.world, "services"), plan)
+        for hall in range(len(plan.day["fleet"].halls)):
+            play_executors(Process(self.world, f"executors {hall}"), plan, hall)
+        for number in range(plan.day["fleet"].fronts):
+            self._start(number)
+        for number in range(plan.day["traffic"].clients):
+            play_clients(Process(self.world, f"clients {number}"), plan, number)
+        for h in plan.script.happenings:
+            if h.who == "front":
+                self.world.later(
+                    (plan.epoch_ms + h.at_ms) / 1e3 - self.world.now_s, self._happen, h.number, h.what
+                )
+
+    def _start(self, number: int) -> None:
+        self.starts += 1
+        process = Process(self.world, f"front {number}")
+        found = check_front_end("(in memory)", front_settings(self.plan, self.tree, number))
+        service = FrontEndService(process, found, self.log, self.kind, process=f"p{self.starts}")
+        service.startService()
+        self.record.note("front started", fe=f"front-{number}")
+        self.fronts[number] = process, service
+
+    def _happen(self, number: int, what: str) -> None:
+        process, _ = self.fronts[number]
+        self.record.note(what, fe=f"front-{number}")
+        if what == "kill":
+            process.kill()
+        elif what == "start":
+            self._start(number)
+        elif what == "stop":
+            process.freeze()
+        else:
+            process.thaw()
+
+    def play(self) -> list[dict[str, Any]]:
+        """The record's lines, by time."""
+        plan = self.plan
+        last_s = (
+            plan.epoch_ms + plan.day["day"].length_s * 1e3 + max(t.outer_ms for t in plan.day["tariffs"])
+        ) / 1e3
+        self.world.run(last_s)
+        ended = [
+            defer.maybeDeferred(service.stopService)
+            for process, service in self.fronts.values()
+            if not process.dead
+        ]
+        self.world.run(plan.end_ms / 1e3 + 5.0)
+        self.left = all(d.called for d in ended)
+        return plan.lines()
+
+
+def seeds(tree: dict[str, Any], seed: int) -> dict[str, Any]:
+    """The same day with another seed."""
+    return {**tree, "day": {**tree["day"], "seed": random.Random(seed).randrange(1 << 30)}}
--- a/petrelway/rehearsal/report.py
+++ b/petrelway/rehearsal/report.py
@@ -26,9 +26,8 @@
     fetches, cpu_s = 0, 0.0
     for line in read(folder):
         kind = line["k"]
-        if kind == "ask":
-            if line["r"] == 0:
-                first[line["m"]] = line
+        if kind == "due":
+            first[line["m"]] = line
         elif kind == "answer":
             outcomes[line["o"] or f"refused {line['st']}"] += 1
             key = f"{line['_source']}\n{line['id']}"
@@ -51,7 +50,7 @@
         worth = t.payoff * line["w"]
         got = 0.0
         if mark in good:
-            ms = good[mark] - line["t"]
+            ms = good[mark] - line["at"]  # from when it was due: no coordinated omission
             took.append(ms)
             if ms <= t.quoted_ms:
                 got, in_time = worth, in_time + 1
@@ -59,7 +58,7 @@
                 got, late = worth * t.late_share, late + 1
         asked += worth
         earned += got
-        for table, key in ((windows, int(line["t"] // 10_000)), (by_customer, line["c"])):
+        for table, key in ((windows, int(line["at"] // 10_000)), (by_customer, line["c"])):
             pair = table.setdefault(key, [0.0, 0.0])
             pair[0] += got
             pair[1] += worth
--- a/petrelway/settings/front.py
+++ b/petrelway/settings/front.py
@@ -121,7 +121,12 @@
 
 def read_front_end(file: str) -> dict[str, Any]:
     """The sections of a front end's file, by name. Raises SettingsFault."""
-    found = sections(file, evaluate(file), SHAPES, OPTIONAL)
+    return check_front_end(file, evaluate(file))
+
+
+def check_front_end(file: str, tree: dict[str, Any]) -> dict[str, Any]:
+    """A front end's tree as sections, checked. Raises SettingsFault."""
+    found = sections(file, tree, SHAPES, OPTIONAL)
     found.setdefault("customers", [])
     for name, shape in (
         ("permits", WhatIsPermitted),
--- a/petrelway/standin/clients.py
+++ b/petrelway/standin/clients.py
@@ -250,6 +250,14 @@
         while self.next_ms <= now and self.next_ms < end:
             asked = self.traffic.draw(now)
             self.serial += 1
+            self.record.note(
+                "due",
+                m=f"{self.source}\nt{self.serial}",
+                f=self.day["tariffs"][asked.tariff].name,
+                c=self.day["customers"][asked.customer].name,
+                w=round(asked.work_ms, 3),
+                at=round(self.next_ms - self.epoch_ms, 3),
+            )
             Attempt(self, f"t{self.serial}", asked, self.next_ms, 0, asked.front).go()
             self.next_ms += self.traffic.wait()
         if self.next_ms < end:
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,224 @@
+"""Whole days in memory: real front ends, stand-ins and checker, one seed; faults caused on purpose."""
+
+import random
+
+import pytest
+
+from petrelway.choice import FrontEnd, Gate
+from petrelway.interface import Stage
+from petrelway.rehearsal.inmemory import MemoryDay
+from petrelway.rules.checker import figures, judge
+from petrelway.settings.days import KINDS
+
+TARIFFS = [
+    {"name": "safe", "effect": "harmless", "quoted_ms": 1000, "outer_ms": 3000, "late_share": 0.2},
+    {
+        "name": "hall",
+        "effect": "stamped",
+        "scope": "hall",
+        "window_ms": 3000,
+        "quoted_ms": 1000,
+        "outer_ms": 3000,
+    },
+    {"name": "once", "effect": "one-shot", "quoted_ms": 1000, "outer_ms": 3000},
+]
+SPELL = {
+    "slow": {"size": 6},
+    "fast_errors": {"size": 0.6},
+    "pauses": {"size": 300, "extra": 1},
+    "burst": {"size": 2},
+    "heavy_tail": {"size": 10, "extra": 0.03},
+    "zone_loss": {"size": 0.9},
+    "deploy": {"part": 0.7, "size": 0.2, "extra": 2},
+    "balancer_stall": {"size": 700, "extra": 1.5, "part": 0.5},
+    "origin_slow": {"size": 6},
+    "flush": {"size": 0.6},
+    "scan": {"size": 0.15},
+    "shift": {"size": 0.6},
+    "throttle": {"size": 0.2, "extra": 0.2, "part": 0.5},
+    "ageing": {"size": 8},
+    "balancer_crash": {"part": 0.4},
+    "reset_mid_frame": {"size": 0.1},
+    "garbage": {"size": 0.1},
+}
+
+
+def day(troubles=(), seed=1, rate=40, length=10, **changes):
+    tree = {
+        "day": {"length_s": length, "seed": seed, "grace_ms": 20, "slack_ms": 5},
+        "fleet": {
+            "halls": ["a", "b", "c"],
+            "executors": 9,
+            "fronts": 3,
+            "cold_share": 0.3,
+            "warm_ms": 6000,
+            "kinds": [{"name": "quad", "share": 1, "cores": 4, "speed": [0.9, 1.5]}],
+            "load_fail": 0.02,
+            "error_rate": 0.01,
+            "keep_ms": 5000,
+        },
+        "functions": {"count": 20, "load_ms": [200, 600]},
+        "tariffs": TARIFFS,
+        "customers": [
+            {"name": "north", "portion": 0.6, "rate": 30},
+            {"name": "south", "portion": 0.4, "rate": 20},
+        ],
+        "traffic": {
+            "rate": rate,
+            "work": {t["name"]: {"mean_ms": 100, "cv": 0.5} for t in TARIFFS},
+            "impatient": 0.02,
+        },
+        "permits": {"transmissions": 4, "longest_retry_ms": 300},
+        "keeping": {"least_keep_ms": 5000, "order_timeout_ms": 4000},
+        "cold": {"multiple": 4, "span_ms": 1500, "start_share": 0.2, "warm_ms": 8000},
+        "troubles": [{"kind": k, "at_s": 3, "len_s": 4, "part": 0.3, **SPELL.get(k, {})} for k in troubles],
+    }
+    for section, change in changes.items():
+        tree[section] = {**tree.get(section, {}), **change}
+    return tree
+
+
+def play(tree, kind=FrontEnd):
+    played = MemoryDay(tree, kind)
+    lines = played.play()
+    return played, lines, judge(lines, figures(played.plan.day))
+
+
+def kept(tree):
+    played, lines, faults = play(tree)
+    assert not faults, [f[:4] for f in faults[:5]]
+    assert played.left, "a front end did not leave"
+    assert not [x for x in played.log.lines if x[0] == "error"], played.log.lines
+    for _, service in played.fronts.values():
+        assert service.host.owed == 0
+    asked = {x["m"] for x in lines if x["k"] == "due"}
+    good = {f"{x['_source']}\n{x['id']}" for x in lines if x["k"] == "answer" and x["o"] == "fulfilled"}
+    return lines, len(good) / len(asked)
+
+
+def test_the_same_seed_gives_the_same_record():
+    one, other = (play(day(["deploy", "hang", "balancer_crash"], seed=4))[1] for _ in range(2))
+    assert one == other and len(one) > 1000
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_each_trouble_alone(kind):
+    lines, good = kept(day([kind], seed=3))
+    assert good > 0.6
+    # the trouble was really there
+    seen = {x["k"] for x in lines}
+    outcomes = {x["o"] for x in lines if x["k"] == "end" and "o" in x}
+    signs = {
+        "zone_loss": {"down", "kill"},
+        "deploy": {"drains", "down", "up"},
+        "balancer_crash": {"kill"},
+        "balancer_stall": {"stop"},
+        "ageing": {"down"},
+        "never_read": {"deaf"},
+    }
+    assert signs.get(kind, set()) <= seen
+    if kind == "fast_errors":
+        assert 1 in outcomes
+    if kind == "throttle":
+        assert 2 in outcomes
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_overlapping_troubles(seed):
+    chance = random.Random(seed)
+    troubles = chance.sample(KINDS, 4)
+    changes = {
+        "keeping": {"answers_miss": chance.random() < 0.4},
+        "fleet": {
+            "images": chance.random() < 0.5,
+            "fail_says": chance.choice(["miss", "error"]),
+            "eager": chance.random() < 0.5,
+        },
+    }
+    if chance.random() < 0.5:
+        changes["ration"] = {"window_ms": 3000, "free": 4, "share": 0.2}
+    kept(day(troubles, seed=seed, rate=chance.choice([30, 60, 150]), **changes))
+
+
+class Silent(FrontEnd):
+    """Rule 1: gives no answer of its own."""
+
+    def _give_up(self, t):
+        return None
+
+
+class AnyRepeat(Gate):
+    """Rule 2: all may be sent again, anywhere, and nacked."""
+
+    def _repeat(self, t, at, now):
+        return True
+
+    def nack(self, t):
+        return True
+
+
+class AnyStage(Gate):
+    """Rule 3: a draining executor is as good as any."""
+
+    def send(self, t, e, listed, now):
+        listing = e.listing
+        e.listing = listing._replace(stage=Stage.READY)
+        try:
+            return super().send(t, e, listed, now)
+        finally:
+            e.listing = listing
+
+
+class NoCold(Gate):
+    """Rule 4: cold executors are as good as warm ones."""
+
+    def is_cold(self, e, now):
+        return False
+
+
+class NoRation(Gate):
+    """Rule 5: orders without end."""
+
+    def order(self, e, now):
+        return e.listing.stage is Stage.READY
+
+
+def with_gate(gate):
+    class Broken(FrontEnd):
+        def __init__(self, *told):
+            super().__init__(*told)
+            self.gate.__class__ = gate
+
+        def executors_listed(self, now, listings, complete):
+            super().executors_listed(now, listings, complete)
+            if gate is AnyStage:
+                self.ready = [e for e in self.executors.values() if e.listing.stage is not Stage.GONE]
+            if gate is NoCold:  # and the youngest first
+                self.ready = sorted(self.ready, key=lambda e: -e.listing.started_ms)[:1]
+
+    return Broken
+
+
+BREAKERS = [
+    (1, Silent, day(["hang"], seed=2, fleet={"error_rate": 0.0})),
+    (2, with_gate(AnyRepeat), day(["hang", "fast_errors"], seed=2)),
+    (3, with_gate(AnyStage), day(["deploy"], seed=2, rules={"drain_grace_ms": 500})),
+    (4, with_gate(NoCold), day(["deploy"], seed=2, rate=250, length=12, cold={"multiple": 2})),
+    (
+        5,
+        with_gate(NoRation),
+        day(
+            ["flush"],
+            seed=2,
+            ration={"window_ms": 3000, "free": 1, "share": 0.01},
+            keeping={"answers_miss": True},
+        ),
+    ),
+]
+
+
+@pytest.mark.parametrize("rule, kind, tree", BREAKERS)
+def test_a_front_end_that_breaks_a_rule_is_caught(rule, kind, tree):
+    _, _, faults = play(tree, kind)
+    assert rule in {f.rule for f in faults}
+    assert not play(tree)[2]  # and the true one keeps them all on the same day
