--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import sys
 import tempfile
 from pathlib import Path
@@ -48,7 +49,7 @@
     from twisted.internet import reactor
 
     from ..rehearsal.benchday import convert
-    from ..rehearsal.conductor import Conductor, PartFailed, write_plan
+    from ..rehearsal.conductor import Conductor, PartFailed, Ports, write_plan
     from ..rehearsal.report import as_json as to_json
     from ..rehearsal.report import report, text
     from ..standin.script import write
@@ -67,7 +68,12 @@
     folder = Path(record) if record else Path(tempfile.mkdtemp(prefix="petrelway-"))
     if folder.exists() and any(folder.glob("*.jsonl")):
         raise click.UsageError(f"--record: found records in {folder}; allowed: a new or empty folder")
-    write_plan(folder, tree, len(write(found).posts), found["fleet"].fronts)
+    try:
+        ports = Ports(random.SystemRandom())
+        write_plan(folder, tree, len(write(found).posts), found["fleet"].fronts, ports)
+    except PartFailed as failure:
+        click.echo(f"the rehearsal failed: {failure}", err=True)
+        sys.exit(3)
     conductor = Conductor(reactor, folder, tree, policy, _progress(found["day"].length_s))
     problems: list[str] = []
 
@@ -80,6 +86,7 @@
 
     reactor.callWhenRunning(lambda: conductor.play().addCallbacks(lambda _: done(), done))
     reactor.run()
+    ports.close()
     if sys.stderr.isatty():
         click.echo(err=True)
     if problems:
--- a/petrelway/commands/standins.py
+++ b/petrelway/commands/standins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import traceback
+
 import click
 
 
@@ -15,8 +17,19 @@
 
     from ..standin.parts import Plan
 
-    reactor.callWhenRunning(play, reactor, Plan(folder), *numbers)
+    failed = []
+
+    def begin() -> None:
+        try:
+            play(reactor, Plan(folder), *numbers)
+        except Exception:  # danger: the reactor would log it and stay, and the rehearsal wait for nothing
+            failed.append(traceback.format_exc())
+            reactor.stop()
+
+    reactor.callWhenRunning(begin)
     reactor.run()
+    if failed:
+        raise SystemExit(failed[0])
 
 
 @standin.command()
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -20,6 +20,7 @@
 
 LEAD_MS = 3500.0  # from the plan to the day's beginning: processes start in it
 PORTS = range(20_000, 32_000)  # below the range that connections draw theirs from
+BLOCK = 250  # ports that one rehearsal has to itself
 QUIT_S = 12.0  # a part that has not ended so long after its time is killed
 
 
@@ -27,26 +28,53 @@
     """A process of the rehearsal ended by itself; its text says which, how, and where its words are."""
 
 
-def free_ports(count: int, chance: random.Random) -> list[int]:
-    """Ports on loopback that nobody listens on now."""
-    found: list[int] = []
-    while len(found) < count:
-        port = chance.choice(PORTS)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+class Ports:
+    """A block of ports on loopback for one rehearsal: its first one is held as long as this lives.
+
+    Danger: two rehearsals at a time that each tried ports and let them go would draw the same ones.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        """Raises PartFailed if all blocks are taken."""
+        blocks = list(range(PORTS.start, PORTS.stop, BLOCK))
+        chance.shuffle(blocks)
+        for first in blocks:
+            self.held = socket.socket()
             try:
-                probe.bind(("127.0.0.1", port))
+                self.held.bind(("127.0.0.1", first))
+                self.held.listen(1)
             except OSError:
+                self.held.close()
                 continue
-        if port not in found:
+            self.left = iter(range(first + 1, first + BLOCK))
+            return
+        raise PartFailed(f"no block of {BLOCK} ports is free in {PORTS.start} to {PORTS.stop}")
+
+    def draw(self, count: int) -> list[int]:
+        """The next ports of the block that nobody listens on. Raises PartFailed if it has too few."""
+        found: list[int] = []
+        for port in self.left:
+            if len(found) == count:
+                break
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
             found.append(port)
-    return found
+        if len(found) < count:
+            raise PartFailed(f"{count} ports asked for, {len(found)} free in a block of {BLOCK}")
+        return found
 
+    def close(self) -> None:
+        self.held.close()
 
-def write_plan(folder: Path, tree: dict[str, Any], posts: int, fronts: int) -> None:
+
+def write_plan(folder: Path, tree: dict[str, Any], posts: int, fronts: int, own: Ports) -> None:
     """plan.json, for all parts and for the checker."""
     folder.mkdir(parents=True, exist_ok=True)
-    ports = free_ports(2 + fronts + posts, random.SystemRandom())
+    ports = own.draw(2 + fronts + posts)
     plan = {
         "day": tree,
         "epoch_ms": time.time() * 1e3 + LEAD_MS,
@@ -104,7 +132,7 @@
         self.file = open(self.path, "ab")  # noqa: SIM115
         self.ended: defer.Deferred[str] = defer.Deferred()
         self.wanted_dead = False
-        self.cpu_s = 0.0
+        self.cpu_s = self.rss_mb = 0.0
 
     def outReceived(self, data: bytes) -> None:
         self.file.write(data)
@@ -117,10 +145,11 @@
         self.ended.callback(how)
 
     def measure(self) -> None:
-        """Remember the CPU time so far, in s."""
+        """Remember the CPU time so far, in s, and the resident memory, in MB."""
         try:
-            times = psutil.Process(self.transport.pid).cpu_times()
-            self.cpu_s = times.user + times.system
+            process = psutil.Process(self.transport.pid)
+            times = process.cpu_times()
+            self.cpu_s, self.rss_mb = times.user + times.system, process.memory_info().rss / 2**20
         except (psutil.Error, TypeError):
             pass
 
@@ -211,6 +240,12 @@
             raise PartFailed("; ".join(self.failed))
 
     def _tell(self, now: float) -> None:
+        for number, part in self.fronts.items():
+            if part.transport.pid is not None:
+                part.measure()
+                self.record.note(
+                    "use", fe=f"front-{number}", cpu_s=round(part.cpu_s, 3), rss_mb=round(part.rss_mb, 2)
+                )
         at_s = (now - self.plan.epoch_ms) / 1e3
         under = sorted(
             {t.kind for t in self.plan.day["troubles"] if t.at_s <= at_s < t.at_s + max(1.0, t.len_s)}
