Worker runtime: packages, copies as processes, loads by deadline, memory told truthfully

Change: petrelway/worker: the package format; a desk that decides queue, lanes, loads, memory, repeats and drain without I/O; copies in processes of their own; images checked by digest on use; fetches that go on where they broke. petrelway worker, store and package commands; a stand-in store with faults. One table of cases runs against stand-in executor and runtime.

--- a/petrelway/wire/codec.py
+++ b/petrelway/wire/codec.py
@@ -26,6 +26,7 @@
     in_hand: int = 0
     loads: int = 0
     pinned: float = 0.0
+    used_mb: float = 0.0
 
 
 class ExecutorSide(Protocol):
@@ -171,7 +172,11 @@
                 warmth=warmth,
                 crowd=crowd,
                 report=pb.Report(
-                    queue=load.queue, in_hand=load.in_hand, loads=load.loads, pinned=load.pinned
+                    queue=load.queue,
+                    in_hand=load.in_hand,
+                    loads=load.loads,
+                    pinned=load.pinned,
+                    used_mb=load.used_mb,
                 ),
                 content_type=content_type,
                 body=body,
@@ -190,7 +195,11 @@
             probed=pb.Probed(
                 id=id,
                 report=pb.Report(
-                    queue=load.queue, in_hand=load.in_hand, loads=load.loads, pinned=load.pinned
+                    queue=load.queue,
+                    in_hand=load.in_hand,
+                    loads=load.loads,
+                    pinned=load.pinned,
+                    used_mb=load.used_mb,
                 ),
             )
         ).SerializeToString()
@@ -251,7 +260,9 @@
             raise WireFault(f"an executor may not say outcome {m.outcome}; allowed {sorted(SAYABLE)}")
         if m.warmth > 4:
             raise WireFault(f"warmth {m.warmth} is not in 0 to 4")
-        side.ended(m.serial, m.number, m.outcome, m.warmth, m.crowd, _load(m.report), m.content_type, m.body)
+        side.ended(
+            m.serial, m.number, m.outcome, m.warmth, m.crowd, _load(m.report), m.content_type, m.body
+        )
     elif kind == "stood":
         m = message.stood
         if m.outcome not in SAYABLE:
@@ -299,6 +310,5 @@
 
 
 def _load(r: pb.Report) -> Load:
-    if not (math.isfinite(r.pinned) and r.pinned >= 0.0):
-        raise WireFault(f"a share of memory of {r.pinned}")
-    return Load(r.queue, r.in_hand, r.loads, r.pinned)
+    _amounts(r.pinned, r.used_mb)
+    return Load(r.queue, r.in_hand, r.loads, r.pinned, r.used_mb)
--- /dev/null
+++ b/petrelway/worker/package.py
@@ -0,0 +1,211 @@
+"""Model packages: a tar whose first member is the manifest. docs/package.md has the format.
+
+Nothing of a package is written before its manifest is read and the member's name, kind and size are checked
+against it; what is refused leaves nothing behind.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import re
+import shutil
+import tarfile
+import tempfile
+from pathlib import Path, PurePosixPath
+from typing import Annotated, BinaryIO
+
+import msgspec
+from msgspec import Meta
+
+MANIFEST = "manifest.json"
+FORMAT = 1
+MANIFEST_BOUND = 1 << 20  # bytes
+FILES_BOUND = 10_000
+SIZE_BOUND = 16 << 30  # bytes of all files of a package
+CHUNK = 1 << 18
+ENTRY = re.compile(r"[A-Za-z_][\w.]*:[A-Za-z_]\w*\Z")
+
+
+class PackageFault(Exception):
+    """A package that can't be used: where, what was found, what is allowed."""
+
+    def __init__(self, where: str, found: str, allowed: str) -> None:
+        super().__init__(f"{where}: found {found}; allowed: {allowed}")
+        self.where, self.found, self.allowed = where, found, allowed
+
+
+class PackedFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    size: Annotated[int, Meta(ge=0, le=SIZE_BOUND)]
+    sha256: Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class Manifest(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What a package says of itself; `memory_mb` and `lanes` are of one loaded copy."""
+
+    format: Annotated[int, Meta(ge=1)]
+    name: Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+    version: Annotated[str, Meta(min_length=1, max_length=100)]
+    entry: str  # module:callable, taken from the package's files
+    memory_mb: Annotated[float, Meta(gt=0, le=1e6)]
+    lanes: Annotated[int, Meta(ge=1, le=1024)]
+    files: dict[str, PackedFile]
+
+
+def read_manifest(raw: bytes) -> Manifest:
+    """Raises PackageFault."""
+    try:
+        manifest = msgspec.json.decode(raw, type=Manifest)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise PackageFault(MANIFEST, str(error), "a manifest as docs/package.md says") from error
+    if manifest.format != FORMAT:
+        raise PackageFault(f"{MANIFEST} format", str(manifest.format), str(FORMAT))
+    if not ENTRY.match(manifest.entry):
+        raise PackageFault(f"{MANIFEST} entry", repr(manifest.entry), "module:callable")
+    if len(manifest.files) > FILES_BOUND:
+        raise PackageFault(f"{MANIFEST} files", str(len(manifest.files)), f"{FILES_BOUND} at most")
+    if sum(f.size for f in manifest.files.values()) > SIZE_BOUND:
+        raise PackageFault(f"{MANIFEST} files", "more bytes in all", f"{SIZE_BOUND} at most")
+    for path in manifest.files:
+        _check_path(path)
+    module = manifest.entry.partition(":")[0].replace(".", "/")
+    if not {f"{module}.py", f"{module}/__init__.py"} & set(manifest.files):
+        raise PackageFault(
+            f"{MANIFEST} entry", f"{manifest.entry!r}, no such file", f"{module}.py in files"
+        )
+    return manifest
+
+
+def _check_path(path: str) -> None:
+    parts = PurePosixPath(path).parts
+    good = (
+        path
+        and not path.startswith("/")
+        and "\\" not in path
+        and "\0" not in path
+        and path == "/".join(parts)
+    )
+    if not good or ".." in parts or path == MANIFEST or len(path) > 500:
+        raise PackageFault("a path", repr(path[:100]), "a plain relative path inside the package")
+
+
+def build(folder: Path, target: Path) -> tuple[Manifest, str]:
+    """Pack a folder that has a `manifest.json` without `files` into a file; the manifest and its digest.
+
+    The same folder gives the same bytes. Raises PackageFault; the target is then as it was.
+    """
+    try:
+        told = msgspec.json.decode((folder / MANIFEST).read_bytes())
+    except (OSError, msgspec.MsgspecError) as error:
+        raise PackageFault(str(folder / MANIFEST), str(error), "a manifest in JSON") from error
+    if not isinstance(told, dict):
+        raise PackageFault(MANIFEST, type(told).__name__, "an object")
+    files = {}
+    for path in sorted(folder.rglob("*")):
+        name = path.relative_to(folder).as_posix()
+        if "__pycache__" in path.parts or name == MANIFEST or path.is_dir() and not path.is_symlink():
+            continue
+        if path.is_symlink() or not path.is_file():
+            raise PackageFault(name, "a link or a special file", "regular files only")
+        files[name] = {"size": path.stat().st_size, "sha256": digest_of(path)}
+    told = {"format": FORMAT, **told, "files": files}
+    raw = msgspec.json.format(msgspec.json.encode(told, order="sorted"), indent=1)
+    manifest = read_manifest(raw)
+    target.parent.mkdir(parents=True, exist_ok=True)
+    handle, half = tempfile.mkstemp(prefix=".half-", dir=target.parent)
+    try:
+        with (
+            os.fdopen(handle, "wb") as out,
+            tarfile.open(fileobj=out, mode="w", format=tarfile.USTAR_FORMAT) as tar,
+        ):
+            _add(tar, MANIFEST, raw)
+            for name in files:
+                _add(tar, name, (folder / name).read_bytes())
+        os.replace(half, target)
+    except BaseException:
+        Path(half).unlink(missing_ok=True)
+        raise
+    return manifest, digest_of(target)
+
+
+def _add(tar: tarfile.TarFile, name: str, data: bytes) -> None:
+    import io
+
+    member = tarfile.TarInfo(name)
+    member.size, member.mode = len(data), 0o644
+    tar.addfile(member, io.BytesIO(data))
+
+
+def digest_of(path: Path) -> str:
+    """The sha256 of a file, in hex."""
+    with open(path, "rb") as file:
+        return hashlib.file_digest(file, "sha256").hexdigest()
+
+
+def unpack(file: Path, digest: str | None, into: Path) -> Manifest:
+    """Check a package and lay its files into a new folder. Raises PackageFault; nothing is left then."""
+    if digest is not None and (found := digest_of(file)) != digest:
+        raise PackageFault(file.name, f"digest {found[:16]}...", f"{digest[:16]}..., as it was asked for")
+    into.parent.mkdir(parents=True, exist_ok=True)
+    half = Path(tempfile.mkdtemp(prefix=".half-", dir=into.parent))
+    try:
+        manifest = _lay(file, half)
+        os.rename(half, into)
+    except BaseException:
+        shutil.rmtree(half, ignore_errors=True)
+        raise
+    return manifest
+
+
+def check(file: Path) -> Manifest:
+    """All checks of `unpack`, nothing kept. Raises PackageFault."""
+    with tempfile.TemporaryDirectory(prefix="petrelway-check-") as folder:
+        return unpack(file, None, Path(folder) / "files")
+
+
+def _lay(file: Path, folder: Path) -> Manifest:
+    try:
+        with tarfile.open(file, mode="r:") as tar:
+            first = tar.next()
+            if first is None or first.name != MANIFEST or not first.isreg():
+                raise PackageFault("first member", repr(first.name if first else None), MANIFEST)
+            if first.size > MANIFEST_BOUND:
+                raise PackageFault(MANIFEST, f"{first.size} bytes", f"{MANIFEST_BOUND} at most")
+            manifest = read_manifest(_whole(tar.extractfile(first), first.size))
+            left = dict(manifest.files)
+            while (member := tar.next()) is not None:
+                told = left.pop(member.name, None)
+                if told is None:
+                    raise PackageFault(member.name[:100], "a member", "those that the manifest lists, once")
+                if not member.isreg():
+                    raise PackageFault(member.name, "a link or a special member", "regular files only")
+                if member.size != told.size:
+                    raise PackageFault(
+                        member.name, f"{member.size} bytes", f"{told.size}, as the manifest says"
+                    )
+                _write(tar.extractfile(member), folder / member.name, told)
+            if left:
+                raise PackageFault(next(iter(left)), "no such member", "all that the manifest lists")
+            return manifest
+    except (tarfile.TarError, EOFError, OSError, ValueError) as error:
+        raise PackageFault(file.name, str(error) or type(error).__name__, "a whole tar archive") from error
+
+
+def _whole(source: BinaryIO | None, size: int) -> bytes:
+    data = source.read(size) if source is not None else b""
+    if len(data) != size:
+        raise PackageFault("archive", "its end in the middle of a member", "a whole tar archive")
+    return data
+
+
+def _write(source: BinaryIO | None, target: Path, told: PackedFile) -> None:
+    target.parent.mkdir(parents=True, exist_ok=True)
+    seen, left = hashlib.sha256(), told.size
+    with open(target, "xb") as out:
+        while left:
+            data = _whole(source, min(CHUNK, left))
+            seen.update(data)
+            out.write(data)
+            left -= len(data)
+    if seen.hexdigest() != told.sha256:
+        raise PackageFault(target.name, f"digest {seen.hexdigest()[:16]}...", f"{told.sha256[:16]}...")
--- /dev/null
+++ b/tests/test_alike.py
@@ -0,0 +1,247 @@
+"""One table of cases on the wire, against the stand-in executor and the worker runtime: no drifting apart."""
+
+from collections import Counter
+
+import pytest
+from doubles import Log, Pipe, clock, lost
+from twisted.internet import defer
+
+from petrelway.settings.days import check_day
+from petrelway.standin.executors import Executor, WorkerServer
+from petrelway.standin.machine import Marks
+from petrelway.standin.script import write
+from petrelway.wire import codec
+from petrelway.wire.framing import Frames
+from petrelway.worker.desk import Desk
+from petrelway.worker.serving import FrontLink, Worker
+
+FULFILLED, ERROR, FULL, MISS = 0, 1, 2, 8
+FOUND, BEGAN, AWAITED, LOAD_FAILED = 1, 2, 3, 4
+LOAD_S, WORK_S = 0.5, 0.1
+
+
+class StandIn:
+    """The stand-in's protocol and machine on a clock in memory."""
+
+    def __init__(self, misses):
+        self.clock, self.good = clock(), True
+        day = check_day(
+            "x",
+            {
+                "day": {"length_s": 10},
+                "fleet": {
+                    "halls": ["a"],
+                    "executors": 1,
+                    "kinds": [{"name": "quad", "share": 1, "cores": 8, "memory_mb": 700, "queue": 3}],
+                    "eager": False,
+                    "loads_at_once": 2,
+                    "keep_ms": 3000,
+                },
+                "functions": {"count": 1},
+                "traffic": {"rate": 1},
+                "customers": [{"name": "c", "portion": 1}],
+                "tariffs": [{"name": "plain", "effect": "harmless", "quoted_ms": 1, "outer_ms": 1}],
+                "keeping": {"answers_miss": misses},
+                "cold": {"multiple": 4, "span_ms": 1, "start_share": 0.2, "warm_ms": 10000},
+            },
+        )
+        self.executor = Executor(self.clock, write(day).posts[0], 1, day, 0.0, self, self, {}, Marks(1.0))
+        self.clock.listenTCP = lambda *a, **k: None
+        self.executor.start(cold=False)
+
+    def note(self, *args, **kw):
+        pass
+
+    def fetch(self, function, ms, done):
+        self.clock.callLater(LOAD_S - 0.2, done, self.good)
+
+    def link(self):
+        return WorkerServer(self.executor)
+
+
+class Runtime:
+    """The runtime's protocol and desk, with loads and calls played by the clock."""
+
+    def __init__(self, misses):
+        self.clock, self.good = clock(), True
+        self.worker = Worker.__new__(Worker)
+        w = self.worker
+        w.reactor, w.name, w.machine, w.process, w.started_ms = self.clock, "executor-0", "quad", "q", 0.0
+        w.desk = Desk(self.clock.seconds() * 1e3, 700.0, 2, 8, 32, 3, 3000.0, False, misses, 9000.0, 500.0)
+        w.links, w.copies, w.loading, w.stamped, w.log, w.record = [], {}, {}, {}, Log(), None
+        w.turn = w.wake = w.emptied = None
+        w.closing = False
+        w.counts = Counter()
+        w._load = self._load
+        w.images = self
+
+    def leave(self, name):
+        pass
+
+    def _load(self, id, function):
+        w = self.worker
+        w.copies[id] = FakeCopy(self, id)
+        done = (w.desk.load_stood, id) if self.good else (w.desk.load_failed, id, "fetch")
+        self.clock.callLater(LOAD_S, w.tell, *done)
+        return defer.Deferred()
+
+    def link(self):
+        return FrontLink(self.worker)
+
+
+class FakeCopy:
+    gone = False
+
+    def __init__(self, rig, id):
+        self.rig, self.id, self.pid = rig, id, 0
+
+    def call(self, call, body):
+        self.rig.clock.callLater(
+            WORK_S, self.rig.worker.tell, self.rig.worker.desk.call_ended, self.id, call, True, b""
+        )
+
+    def stop_call(self, call):
+        self.rig.worker.tell(self.rig.worker.desk.call_ended, self.id, call, False, b"")
+
+    def end(self, why):
+        self.gone = True
+
+
+class Front:
+    """What a front end says to either, and hears."""
+
+    def __init__(self, other):
+        self.other, self.wire, self.pipe = other, other.link(), Pipe()
+        self.frames = Frames()
+        self.wire.makeConnection(self.pipe)
+        self.say(codec.greeting("front", "p"))
+
+    def say(self, data):
+        self.wire.dataReceived(data)
+        return self
+
+    def send(self, serial, function="f", left=5000.0, mb=300.0, number=0):
+        return self.say(
+            codec.send(
+                serial,
+                number,
+                f"m{serial}",
+                function,
+                mb,
+                2,
+                "plain",
+                "c",
+                left,
+                WORK_S * 1e3,
+                "",
+                b'{"work_ms": 100}',
+            )
+        )
+
+    def order(self, id, copies=1, function="f", mb=300.0):
+        return self.say(codec.order(id, function, copies, mb, 2))
+
+    def run(self, seconds):
+        for _ in range(int(seconds * 200)):
+            self.other.clock.advance(0.005)
+        return self
+
+    def pull(self):
+        side = Side()
+        for payload in self.frames.feed(self.pipe.take()):
+            codec.from_executor(payload, side)
+        return side.heard
+
+
+class Side:
+    def __init__(self):
+        self.heard = []
+
+    def welcomed(self, executor, process, machine, started_ms):
+        self.heard.append(("welcome", executor, machine))
+
+    def ended(self, serial, number, outcome, warmth, crowd, load, content_type, body):
+        self.heard.append((serial, outcome, warmth))
+
+    def stood(self, id, outcome, copies):
+        self.heard.append(("stood", id, outcome, copies))
+
+    def probed(self, id, load):
+        self.heard.append(("probed", id, load.queue, load.in_hand, load.loads))
+
+
+HELLO = [("welcome", "executor-0", "quad")]
+CASES = {
+    "a load begun, awaited, found": (
+        False,
+        lambda f: f.send(1).send(2).run(1.0).send(3).run(0.3),
+        [*HELLO, (1, 0, BEGAN), (2, 0, AWAITED), (3, 0, FOUND)],
+    ),
+    "miss, order, found": (
+        True,
+        lambda f: f.send(1).run(0.1).order(7).run(1.0).send(2).run(0.3),
+        [*HELLO, (1, MISS, 0), ("stood", 7, 0, 1), (2, 0, FOUND)],
+    ),
+    "awaited behind an order": (
+        True,
+        lambda f: f.order(7).send(1).run(1.0),
+        [*HELLO, ("stood", 7, 0, 1), (1, 0, AWAITED)],
+    ),
+    "asking": (
+        True,
+        lambda f: f.order(7, 0).run(0.1).order(8).run(1.0).order(9, 0).run(0.1),
+        [*HELLO, ("stood", 7, 0, 0), ("stood", 8, 0, 1), ("stood", 9, 0, 1)],
+    ),
+    "a load that fails": (
+        False,
+        lambda f: (setattr(f.other, "good", False), f.send(1).send(2).order(7).run(1.0))[1],
+        [*HELLO, (1, MISS, LOAD_FAILED), (2, MISS, LOAD_FAILED), ("stood", 7, ERROR, 0)],
+    ),
+    "a queue that is full": (
+        False,
+        lambda f: [f.send(i) for i in range(1, 6)][0].run(1.5),
+        [*HELLO, (4, FULL, 0), (5, FULL, 0), (1, 0, BEGAN), (2, 0, AWAITED), (3, 0, AWAITED)],
+    ),
+    "no room ever": (
+        False,
+        lambda f: f.send(1, mb=900.0).order(7, mb=900.0).run(0.3),
+        [*HELLO, (1, FULL, 0), ("stood", 7, FULL, 0)],
+    ),
+    "withdrawn while it waits": (False, lambda f: f.send(1).say(codec.withdraw(1, 0)).run(1.5), HELLO),
+    "withdrawn while it runs": (
+        False,
+        lambda f: f.send(1).run(0.55).say(codec.withdraw(1, 0)).run(1.0),
+        HELLO,
+    ),
+    "out of time": (False, lambda f: f.send(1, left=200.0).run(1.0), HELLO),
+    "unloaded": (
+        True,
+        lambda f: f.order(7).run(1.0).say(codec.unload("f")).run(0.1).send(1).run(0.2),
+        [*HELLO, ("stood", 7, 0, 1), (1, MISS, 0)],
+    ),
+    "idle past its time": (
+        True,
+        lambda f: f.order(7).run(5.0).send(1).run(0.2),
+        [*HELLO, ("stood", 7, 0, 1), (1, MISS, 0)],
+    ),
+    "probed": (
+        False,
+        lambda f: f.send(1).run(0.1).say(codec.probe(3)).run(1.0),
+        [*HELLO, ("probed", 3, 1, 1, 1), (1, 0, BEGAN)],
+    ),
+    "garbage": (False, lambda f: f.say(b"\x00\x00\x00\x02\xff\xff").run(0.1), HELLO),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+@pytest.mark.parametrize("kind", [StandIn, Runtime])
+def test_alike(kind, case):
+    misses, play, expected = CASES[case]
+    front = Front(kind(misses))
+    play(front)
+    heard = front.pull()
+    assert sorted(map(str, heard)) == sorted(map(str, expected))
+    assert front.pipe.aborted == (case == "garbage")
+    front.wire.connectionLost(lost())
+    front.run(0.5)
+    assert front.pull() == []
