--- /dev/null
+++ b/petrelway/background/__init__.py
@@ -0,0 +1,1 @@
+"""Background work with priorities and budgets: everything that is no trigger."""
--- /dev/null
+++ b/petrelway/daemon/shedding.py
@@ -0,0 +1,125 @@
+"""What a daemon gives up, in which order, before the module is asked. Pure; nothing taken is dropped.
+
+Pressure is the worst of lag, open triggers, bytes buffered and connections, each over its bound. The order:
+
+| step | from pressure | what is given up |
+| --- | --- | --- |
+| 0 | - | nothing |
+| 1 | 0.8 | live pages slow down |
+| 2 | 1.0 | repeats of triggers are nacked |
+| 3 | 1.2 | triggers of customers over their share are nacked |
+| 4 | 1.5 | of all others a part is nacked, the same part of each customer's share |
+| 5 | 2.0 | all are nacked |
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from enum import IntEnum
+from typing import NamedTuple
+
+FROM = (0.0, 0.8, 1.0, 1.2, 1.5, 2.0)  # pressure from which a step acts ...
+BACK = 0.85  # ... and the part of it under which it ends: a step must not flutter
+SPAN_MS = 2000.0  # over which customers' traffic is averaged
+RETRY_MS, RETRY_MOST_MS = 200.0, 5000.0
+OVER = 1.1  # a customer is over its share from so many times it
+
+
+class Step(IntEnum):
+    ALL_WELL = 0
+    SLOW_PAGES = 1
+    REPEATS = 2
+    OVER_SHARE = 3
+    FAIR_PART = 4
+    ALL = 5
+
+
+class Pressures(NamedTuple):
+    """Each as a part of its bound."""
+
+    lag: float
+    open: float
+    buffered: float
+    connections: float
+
+
+class Shedder:
+    """One daemon's guard. Customers' shares are as told; untold ones count as equal."""
+
+    def __init__(
+        self,
+        portions: list[float],
+        lag_ms: float,
+        open_bound: int,
+        buffered_bound: int,
+        connections_bound: int,
+        chance: random.Random,
+    ) -> None:
+        self.portions = portions if sum(portions) > 0.0 else [1.0] * len(portions)
+        self.lag_ms, self.open_bound = lag_ms, open_bound
+        self.buffered_bound, self.connections_bound = buffered_bound, connections_bound
+        self.chance = chance
+        self.pressures = Pressures(0.0, 0.0, 0.0, 0.0)
+        self.step = Step.ALL_WELL
+        self.asked: list[float] = [0.0] * max(1, len(portions))  # decayed counts of what came
+        self.asked_ms = -math.inf
+        self.owed: list[float] = [0.0] * max(
+            1, len(portions)
+        )  # parts of triggers that a customer still may send
+        self.nacked: Counter[str] = Counter()
+
+    def seen(self, lag_ms: float, open: int, buffered: int, connections: int) -> None:
+        """The daemon's own state now."""
+        self.pressures = Pressures(
+            lag_ms / self.lag_ms,
+            open / self.open_bound,
+            buffered / self.buffered_bound,
+            connections / self.connections_bound,
+        )
+        worst = max(self.pressures)
+        up = max(step for step in Step if worst >= FROM[step])
+        down = max(step for step in Step if worst >= BACK * FROM[step])
+        self.step = Step(min(max(self.step, up), down) if self.step > up else up)
+
+    def ask(self, now: float, customer: int, repeat: bool) -> float:
+        """0 to take it, else the retry time in ms of the nack that it gets at once."""
+        fade = math.exp((self.asked_ms - now) / SPAN_MS) if self.asked_ms > -math.inf else 0.0
+        if fade < 1.0:
+            self.asked = [count * fade for count in self.asked]
+        self.asked_ms = max(now, self.asked_ms)
+        self.asked[customer] += 1.0
+        if self.step < Step.REPEATS:
+            return 0.0
+        if self.step is Step.ALL:
+            return self._nack("all")
+        if repeat:
+            return self._nack("repeat")
+        if self.step >= Step.OVER_SHARE and self.over(customer):
+            return self._nack("over share")
+        if self.step >= Step.FAIR_PART and not self._part(customer):
+            return self._nack("fair part")
+        return 0.0
+
+    def over(self, customer: int) -> bool:
+        """Whether it sends more than its share of what comes; alone, nobody is."""
+        total = sum(self.asked)
+        share = self.portions[customer] / sum(self.portions) if self.portions else 1.0
+        return total >= 10.0 and len(self.portions) > 1 and self.asked[customer] > OVER * share * total
+
+    def _part(self, customer: int) -> bool:
+        """Of each trigger as much is taken as the pressure leaves; whole ones by saving up, not by luck."""
+        worst = max(self.pressures)
+        self.owed[customer] += max(
+            0.0, min(1.0, (FROM[Step.ALL] - worst) / (FROM[Step.ALL] - FROM[Step.FAIR_PART]))
+        )
+        if self.owed[customer] >= 1.0:
+            self.owed[customer] -= 1.0
+            return True
+        return False
+
+    def _nack(self, why: str) -> float:
+        self.nacked[why] += 1
+        worst = max(self.pressures)
+        return min(RETRY_MOST_MS, RETRY_MS * worst * worst * (0.75 + 0.5 * self.chance.random()))
