Daemon and console: telemetry, pages, live figures, explainer, terminal view

Change: petrelway serve is a daemon: it gives up by one table what it can't carry, counts in bounded windows and a top-k sketch, and serves read-only pages with live figures, each also as JSON; status, explain and top in a terminal. Rehearsals show their consoles and leave no process behind when ended. Tests in memory, in a real browser (skipped where there is none), and by hostile names, slow readers, endless requests.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = .venv/bin/python
 STAMP = .venv/.petrelway-installed
 
-.PHONY: test demo proto bench clean
+.PHONY: test demo proto bench browser
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -d .venv || python3 -m venv .venv
@@ -23,3 +23,7 @@
 # the generated code is checked in; needs requirements-dev.txt
 proto: $(STAMP)
 	cd petrelway/wire && ../../$(PY) -m grpc_tools.protoc -I. --python_out=. worker.proto roster.proto store.proto
+
+# for tests/test_browser.py, which is skipped without them; needs root and Debian's packages
+browser:
+	command -v chromium chromedriver || (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends chromium chromium-driver)
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -49,7 +49,7 @@
     found = read_or_exit(read_front_end, file)
     from twisted.internet import error, reactor
 
-    from ..front.service import FrontEndService
+    from ..daemon.service import Daemon
     from ..rehearsal.baselines import POLICIES
 
     wanted = found["log"]
@@ -62,12 +62,15 @@
         ) from problem
     if policy not in POLICIES:
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
-    front = FrontEndService(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
+    front = Daemon(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
     try:
         front.startService()
+    except ValueError as problem:
+        raise click.UsageError(f"{file}: console.token_file: {problem}") from problem
     except error.CannotListenError as problem:
+        section = "listen" if problem.port == found["listen"].port else "console"
         raise click.UsageError(
-            f"{file}: listen.port: found {found['listen'].port}, which can't be listened on "
+            f"{file}: {section}.port: found {problem.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free port"
         ) from problem
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -45,8 +45,9 @@
     show_default=True,
     help="petrelway, or a baseline to compare with.",
 )
+@click.option("--consoles", is_flag=True, help="Front ends serve their consoles.")
 @click.option("--seed", type=int, help="Another seed than the day's.")
-def rehearse(day, bench_day, scale, as_json, record, policy, seed) -> None:
+def rehearse(day, bench_day, scale, as_json, record, policy, consoles, seed) -> None:
     """Start everything on loopback, play DAY (Jsonnet), check the five rules. Exit 1 if one is broken."""
     from twisted.internet import reactor
 
@@ -76,11 +77,13 @@
         raise click.UsageError(f"--record: found records in {folder}; allowed: a new or empty folder")
     try:
         ports = Ports(random.SystemRandom())
-        write_plan(folder, tree, len(write(found).posts), found["fleet"].fronts, ports)
+        write_plan(folder, tree, len(write(found).posts), found["fleet"].fronts, ports, consoles)
     except PartFailed as failure:
         click.echo(f"the rehearsal failed: {failure}", err=True)
         sys.exit(3)
     conductor = Conductor(reactor, folder, tree, policy, _progress(found["day"].length_s))
+    for number, port in enumerate(conductor.plan.ports.get("consoles", [])):
+        click.echo(f"console of front-{number}: http://127.0.0.1:{port}/", err=True)
     problems: list[str] = []
 
     def done(failure=None) -> None:
@@ -90,6 +93,7 @@
             )
         reactor.stop()
 
+    reactor.addSystemEventTrigger("before", "shutdown", conductor.abandon)
     reactor.callWhenRunning(lambda: conductor.play().addCallbacks(lambda _: done(), done))
     reactor.run()
     ports.close()
--- /dev/null
+++ b/petrelway/console/__init__.py
@@ -0,0 +1,1 @@
+"""The web console: what a front end sees of itself, shown without asking anybody."""
--- /dev/null
+++ b/petrelway/console/explainer.py
@@ -0,0 +1,82 @@
+"""Why it was decided so: reads the module's state when somebody looks, and changes nothing.
+
+It names in words what choice.py weighs; it decides nothing, and the module does not know of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from ..choice import AILING_PACE, Executor, FrontEnd
+from ..interface import Stage
+
+
+def executor(fe: FrontEnd, e: Executor, now: float, name: str, hall: str) -> dict[str, Any]:
+    """What is known of one executor, and why it is avoided. Times in ms."""
+    usual = fe.kind_pace.get(e.listing.machine, 0.0)
+    pace = fe.pace(e, now)
+    avoided = []
+    if e.listing.stage is not Stage.READY:
+        avoided.append(f"{e.listing.stage.value}: nothing new is sent")
+    if e.busy >= e.limit:
+        avoided.append(f"at its limit: {e.busy} own triggers in flight, {e.limit:.1f} allowed")
+    if usual and pace > 2.0 * usual:
+        word = "ailing" if pace >= AILING_PACE * usual else "slow"
+        avoided.append(f"{word}: {pace / usual:.1f} times its kind's usual pace")
+    for customer, until in e.refused.items():
+        if until > now:
+            avoided.append(f"refuses customer {customer} for {(until - now) / 1e3:.1f} s more")
+    cold = fe.gate.is_cold(e, now)
+    if cold:
+        avoided.append(f"cold: {len(e.cold_sends)} sends counted against rule 4")
+    return {
+        "executor": name,
+        "hall": hall,
+        "stage": e.listing.stage.value,
+        "pace": round(pace, 3),
+        "usual pace": round(usual, 3),
+        "backlog ms": round(fe.backlog(e, now), 1),
+        "in flight": len(e.out),
+        "busy": e.busy,
+        "limit": round(e.limit, 1),
+        "resume": len(e.resume),
+        "orders": len(e.orders),
+        "cold": cold,
+        "avoided": avoided,
+    }
+
+
+def executors(
+    fe: FrontEnd, names: dict[int, str], halls: dict[int, str], now: float
+) -> Iterator[dict[str, Any]]:
+    for index, e in list(fe.executors.items()):
+        yield executor(fe, e, now, names.get(index, str(index)), halls.get(e.listing.hall, ""))
+
+
+def function(fe: FrontEnd, index: int, name: str, names: dict[int, str], now: float) -> dict[str, Any]:
+    """Where a function is believed warm, and what is known of it."""
+    f = fe.functions[index]
+    warm = [
+        {"executor": names.get(i, str(i)), "seen s ago": round((now - e.resume.get(index, now)) / 1e3, 1)}
+        for i, e in f.skilled.items()
+    ]
+    loading = [names.get(i, str(i)) for i, e in fe.executors.items() if index in e.orders]
+    return {
+        "function": name,
+        "warm at": warm,
+        "loading at": loading,
+        "waiting": len(f.held),
+        "lanes": f.lanes,
+        "load ms": round(f.load_ms, 1),
+        "mean ms": round(f.mean_ms, 1),
+        "asked s ago": round((now - f.used_ms) / 1e3, 1),
+    }
+
+
+def functions(
+    fe: FrontEnd, known: dict[int, str], names: dict[int, str], now: float
+) -> Iterator[dict[str, Any]]:
+    for index, name in list(known.items()):
+        if index in fe.functions:
+            yield function(fe, index, name, names, now)
--- /dev/null
+++ b/petrelway/daemon/service.py
@@ -0,0 +1,145 @@
+"""The long-lived daemon: a front end that protects itself, counts what it sees, and shows it."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from ..background.planner import Class, Planner
+from ..background.running import Background
+from ..choice import FrontEnd
+from ..console.serving import Console, read_token
+from ..console.telemetry import Telemetry
+from ..front.ask import Ask
+from ..front.service import FrontEndService
+from .shedding import Shedder, Step
+
+SLICE_MS, BURST_MS = 3.0, 30.0
+BACKGROUND_LAG_MS = 15.0  # from this lag on background work gets less
+LONGEST_WAIT_MS = 400.0  # of a background task: a page's few steps fit into a second
+
+
+class Daemon(FrontEndService):
+    """A front end with its console. `found` may have the sections `console` and `guard`."""
+
+    def __init__(
+        self,
+        reactor,
+        found: dict[str, Any],
+        log,
+        kind: Callable[..., FrontEnd] = FrontEnd,
+        meter: Callable[[], float] | None = None,
+        process: str = "",
+        spent: Callable[[], float] = time.perf_counter,
+    ) -> None:
+        super().__init__(reactor, found, log, kind, meter, process)
+        self.name = found["front_end"].name
+        self.spent = spent
+        self.console: Console | None = None
+        self.console_port = None
+
+    def now(self) -> float:
+        return self.reactor.seconds() * 1e3
+
+    def startService(self) -> None:
+        """Raises twisted.internet.error.CannotListenError if a port is taken."""
+        found, guard = self.found, self.found["guard"]
+        now = self.now()
+        self.telemetry = Telemetry(now, {t.name: t.quoted_ms for t in found["tariffs"]})
+        self.background = Background(
+            self.reactor,
+            Planner(now, guard.background_share, SLICE_MS, BURST_MS, BACKGROUND_LAG_MS, LONGEST_WAIT_MS),
+            self.spent,
+            self.log,
+        )
+        chance = random.Random(f"{found['front_end'].seed}/guard")
+        self.shedder = Shedder(
+            [c.portion for c in found["customers"]],
+            guard.lag_ms,
+            guard.open,
+            int(guard.buffered_mb * 2**20),
+            guard.connections,
+            chance,
+        )
+        super().startService()
+        self.host.watch = self.telemetry
+        self.intake.guard = self._guard
+        self.background.on_lag.append(self._lag_seen)
+        self.background.start()
+        if (wanted := found.get("console")) is not None:
+            token = read_token(wanted.token_file) if wanted.token_file else ""
+            self.console = Console(self.reactor, self, self.background, self.log, token)
+            try:
+                self.console_port = self.reactor.listenTCP(
+                    wanted.port, self.console, interface=wanted.address
+                )
+            except Exception:
+                self.port.stopListening()
+                raise
+            self.log.info("console started", address=wanted.address, port=self.console_port.getHost().port)
+
+    def _guard(self, ask: Ask) -> float:
+        return self.shedder.ask(self.now(), ask.customer, ask.repeat)
+
+    def _lag_seen(self, lag_ms: float) -> None:
+        before = self.shedder.step
+        self.shedder.seen(lag_ms, self.host.owed, self.host.held_bytes, self.intake.connections)
+        step = self.shedder.step
+        if step is not before:
+            self.telemetry.changed(self.now(), "gives up", step.name.lower().replace("_", " "))
+            if max(step, before) >= Step.REPEATS:  # pages that slow down are no news
+                self.log.warning(
+                    "gives up",
+                    step=step.name.lower(),
+                    before=before.name.lower(),
+                    **{k: round(v, 3) for k, v in self.shedder.pressures._asdict().items()},
+                )
+
+    def leave(self) -> None:
+        """As if SIGTERM had come."""
+        self.reactor.callLater(0.05, self.reactor.stop)
+
+    def slow_pages(self) -> bool:
+        return self.shedder.step >= Step.SLOW_PAGES
+
+    def own_state(self) -> dict[str, Any]:
+        """Lag, budgets, what is given up, counts; reads only."""
+        fe, p = self.host.front_end, self.background.planner
+        return {
+            "open triggers": self.host.owed,
+            "held": sum(len(f.held) for f in fe.functions.values()),
+            "orders and loads": sum(len(e.orders) for e in fe.executors.values()),
+            "executors ready": len(fe.ready),
+            "functions known": len(fe.functions),
+            "bytes held": self.host.held_bytes,
+            "clients' connections": self.intake.connections,
+            "lag ms": round(p.lag_ms, 2),
+            "gives up": self.shedder.step.name.lower().replace("_", " "),
+            "step": int(self.shedder.step),
+            "pressures": {k: round(v, 3) for k, v in self.shedder.pressures._asdict().items()},
+            "nacked untaken": dict(sorted(self.shedder.nacked.items())),
+            "background": {
+                "share": round(p.present_share(), 4),
+                "tasks": len(p.tasks),
+                **{f"ms of {c.name.lower()}": round(p.used[c], 1) for c in Class},
+                **dict(sorted(p.counts.items())),
+            },
+            "overruns by task": {k: round(v, 1) for k, v in sorted(p.worst.items())},
+            "console": {
+                **(self.console.counts if self.console else {}),
+                "viewers": len(self.console.viewers) if self.console else 0,
+            },
+            "totals": dict(sorted(self.telemetry.totals.items())),
+        }
+
+    @defer.inlineCallbacks
+    def stopService(self):
+        if self.console is not None:
+            self.console.close()
+            yield defer.maybeDeferred(self.console_port.stopListening)
+        yield super().stopService()
+        self.background.close()
--- a/petrelway/front/host.py
+++ b/petrelway/front/host.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from twisted.internet import defer, interfaces
 
@@ -20,6 +20,7 @@
 from ..wire import codec
 from ..wire.listing import Line
 from .links import Link
+from .reasons import why_sent
 from .proof import Key
 
 STAGES = {"ready": Stage.READY, "draining": Stage.DRAINING, "gone": Stage.GONE}
@@ -38,6 +39,26 @@
     warmth: Warmth = Warmth.UNTOLD
 
 
+class Watch(Protocol):
+    """Who looks on. Times in ms; names as outside."""
+
+    def taken(
+        self, now: float, serial: int, mark: str, tariff: str, customer: str, function: str
+    ) -> None: ...
+
+    def decided(self, now: float, serial: int, what: str, executor: str, detail: str) -> None: ...
+
+    def ended(
+        self, now: float, serial: int, executor: str, hall: str, outcome: str, warmth: str
+    ) -> None: ...
+
+    def answered(self, now: float, serial: int, kind: str) -> None: ...
+
+    def released(self, serial: int) -> None: ...
+
+    def changed(self, now: float, what: str, detail: str) -> None: ...
+
+
 class Function(NamedTuple):
     """What executors are told of a function; `load_ms` 0: untold."""
 
@@ -117,11 +138,13 @@
         self.known: dict[int, Function] = {}
         self.orders: dict[int, tuple[int, int, float, object]] = {}  # id -> executor, function, when, timer
         self.serial = self.order_id = self.owed = 0
+        self.held_bytes = 0  # bodies of triggers without a final answer
         self.counts: Counter[str] = Counter()
         self.turn = self.wake = None
         self.wake_ms = 0.0
         self.turning = False
         self.idle: defer.Deferred[None] | None = None
+        self.watch: Watch | None = None  # hears what passes; asks nothing
 
     def now(self) -> float:
         return self.clock.seconds() * 1e3
@@ -165,8 +188,11 @@
         t.gone = self._client_gone
         self.taken[index] = t
         self.owed += 1
+        self.held_bytes += len(body)
         self.counts["taken"] += 1
         answer = t.answer
+        if self.watch is not None:
+            self.watch.taken(now, self.serial, mark, t.tariff, t.customer, function.name)
         self.front_end.trigger_taken(now, index, tariff, customer, known, remaining_ms, work_ms, repeat)
         self._soon()
         return answer
@@ -178,6 +204,8 @@
             if line.stage == "gone" and line.executor not in self.executors.index:
                 continue
             index, new = self.executors.enter(line.executor)
+            if self.watch is not None:
+                self._note_change(now, index, line)
             named.add(index)
             listings.append(
                 Listing(
@@ -211,6 +239,15 @@
         self.front_end.executors_listed(now, listings, complete)
         self._soon()
 
+    def _note_change(self, now: float, index: int, line: Line) -> None:
+        known = self.front_end.executors.get(index)
+        if known is None:
+            self.watch.changed(now, "executor listed", f"{line.executor} {line.stage} in {line.hall}")
+        elif known.listing.stage is not STAGES[line.stage]:
+            self.watch.changed(now, f"executor {line.stage}", line.executor)
+        elif line.started_ms > known.listing.started_ms:
+            self.watch.changed(now, "executor restarted", line.executor)
+
     def transmission_ended(
         self,
         executor: int,
@@ -236,6 +273,10 @@
                 t, Answer(FULFILLED, 0.0, content_type, body, self.executors.wire[executor], Warmth(warmth))
             )
         now = self.now()
+        if self.watch is not None:
+            name = self.executors.wire[executor]
+            hall = self.halls.wire.get(self.front_end.executors[executor].listing.hall, "")
+            self.watch.ended(now, serial, name, hall, outcome.name.lower(), Warmth(warmth).name.lower())
         self.front_end.transmission_ended(
             now, index, number, outcome, now - out.sent_ms, t.answer is None, Warmth(warmth)
         )
@@ -258,7 +299,11 @@
     def _client_gone(self, t: Taken) -> None:
         t.answer = None
         self.counts["client gone"] += 1
+        self.held_bytes -= len(t.body)
+        t.body = b""
         self._owe_less()
+        if self.watch is not None:
+            self.watch.answered(self.now(), t.serial, "gone")
         self.front_end.client_gone(self.now(), t.index)
         self._soon()
 
@@ -298,7 +343,9 @@
         self.turning = False
         free = self.front_end.released()
         for index in free.triggers:
-            self.taken.pop(index)
+            t = self.taken.pop(index)
+            if self.watch is not None:
+                self.watch.released(t.serial)
         for index in free.executors:
             self.links.pop(index).close()
         for index in free.functions:
@@ -337,6 +384,11 @@
 
     def _carry_out(self, d: Decision, now: float) -> None:
         verb = d.verb
+        if self.watch is not None and d.trigger >= 0:
+            executor, why = self.executors.wire.get(d.executor, ""), ""
+            if verb is Verb.SEND:
+                why = why_sent(self.front_end, d.trigger, d.executor, self.taken[d.trigger].sent)
+            self.watch.decided(now, self.taken[d.trigger].serial, verb.value, executor, why)
         if verb is Verb.SEND:
             self._send(self.taken[d.trigger], d.executor, d.ms, now)
         elif verb is Verb.WAKE:
@@ -426,9 +478,12 @@
         deferred, t.answer = t.answer, None
         if deferred is None:
             return
+        self.held_bytes -= len(t.body)
         t.body = b""  # a long wait for late outcomes must not hold it
         self.counts[answer.kind] += 1
         self._owe_less()
+        if self.watch is not None:
+            self.watch.answered(self.now(), t.serial, answer.kind)
         deferred.callback(answer)
 
     def _owe_less(self) -> None:
--- a/petrelway/front/intake.py
+++ b/petrelway/front/intake.py
@@ -82,6 +82,7 @@
     ) -> None:
         self.asks, self.take, self.owed, self.logger = asks, take, owed, log
         self.open_bound, self.connections_bound = open_bound, connections_bound
+        self.guard: Callable[[Ask], float] = lambda ask: 0.0  # a retry time for what is not to be taken
         self.leaving = False
         self.connections = 0
         self.counts: Counter[str] = Counter()
@@ -134,6 +135,9 @@
             ask = intake.asks.read(event)
         except EventFault as fault:
             return self._refuse(request, fault.status, fault.where, fault.found, fault.allowed)
+        retry_ms = intake.guard(ask)
+        if retry_ms > 0.0:
+            return self._nack_untaken(request, retry_ms)
         answer = intake.take(ask, event.content_type, event.data)
         gone = request.notifyFinish()
         gone.addErrback(lambda _: answer.cancel())
--- /dev/null
+++ b/petrelway/front/reasons.py
@@ -0,0 +1,22 @@
+"""The reason of a transmission in words, read from the module's state; asked only while stories are kept."""
+
+from __future__ import annotations
+
+from ..choice import FrontEnd
+
+
+def why_sent(fe: FrontEnd, trigger: int, executor_index: int, number: int) -> str:
+    """The reason of a transmission that was decided this moment, in words."""
+    t, e = fe.triggers[trigger], fe.executors[executor_index]
+    f = t.function
+    beside = sum(1 for n in t.out if n != number)
+    if beside:
+        return f"a further one beside {beside} overdue"
+    again = f", again after {len(t.tried) + len(t.missed)} that failed or missed" if number else ""
+    if f.index in e.orders and len(f.skilled) <= 1:
+        return "nobody is believed to hold it: first by the shared rank, loads" + again
+    if f.index in e.orders:
+        return f"none of {len(f.skilled) - 1} skilled had room: it gains the skill and loads" + again
+    if f.index in e.resume:
+        return f"skilled, least weighted backlog of {len(f.skilled)}" + again
+    return "first by the shared rank" + again
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -75,7 +75,9 @@
         self.held.close()
 
 
-def write_plan(folder: Path, tree: dict[str, Any], posts: int, fronts: int, own: Ports) -> None:
+def write_plan(
+    folder: Path, tree: dict[str, Any], posts: int, fronts: int, own: Ports, consoles: bool = False
+) -> None:
     """plan.json, for all parts and for the checker."""
     folder.mkdir(parents=True, exist_ok=True)
     ports = own.draw(2 + fronts + posts)
@@ -89,6 +91,8 @@
             "executors": ports[2 + fronts :],
         },
     }
+    if consoles:
+        plan["ports"]["consoles"] = own.draw(fronts)
     (folder / "plan.json").write_text(json.dumps(plan))
 
 
@@ -119,12 +123,15 @@
 
 
 def write_fronts(plan: Plan, tree: dict[str, Any], level: str) -> list[Path]:
-    """Settings of each front end, as a file of its own."""
+    """Settings of each front end, as a file of its own; with a console where the plan has ports for it."""
     files = []
     for i in range(plan.day["fleet"].fronts):
         log = {"file": str(plan.folder / f"front-{i}.log"), "level": level}
         files.append(plan.folder / f"front-{i}.json")
-        files[-1].write_text(json.dumps(front_settings(plan, tree, i, log), indent=1))
+        settings = front_settings(plan, tree, i, log)
+        if consoles := plan.ports.get("consoles"):
+            settings["console"] = {"port": consoles[i]}
+        files[-1].write_text(json.dumps(settings, indent=1))
     return files
 
 
@@ -276,7 +283,10 @@
             if h.who == "executor" and h.what in ("start", "die", "leave", "freeze", "end freeze"):
                 self.calls.append(
                     self.reactor.callLater(
-                        max(0.0, self.plan.epoch_ms + h.at_ms - now) / 1e3, self._to_worker, h.number, h.what
+                        max(0.0, self.plan.epoch_ms + h.at_ms - now) / 1e3,
+                        self._to_worker,
+                        h.number,
+                        h.what,
                     )
                 )
 
@@ -324,6 +334,13 @@
         part.transport.signalProcess(signal.SIGCONT)
         part.transport.signalProcess(how)
 
+    def abandon(self) -> None:
+        """The rehearsal itself is ended: no process of it may stay behind."""
+        for part in self.parts:
+            if part.transport is not None and part.transport.pid is not None:
+                part.wanted_dead = True
+                part.transport.signalProcess("KILL")
+
     def _kill_all(self) -> None:
         for part in self.parts:
             if part.transport.pid is not None:
--- a/petrelway/rehearsal/inmemory.py
+++ b/petrelway/rehearsal/inmemory.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 
 from ..choice import FrontEnd
-from ..front.service import FrontEndService
+from ..daemon.service import Daemon
 from ..settings.days import check_day
 from ..settings.front import check_front_end
 from ..standin.memory import Process, World
@@ -21,6 +21,7 @@
 from .conductor import front_settings
 
 LEAD_MS = 3000.0
+CONSOLE_PORTS = 100
 
 
 class Lines(Record):
@@ -97,13 +98,18 @@
     """One playing. `kind` is the module, a baseline, or a front end that breaks a rule on purpose."""
 
     def __init__(
-        self, tree: dict[str, Any], kind: Callable[..., FrontEnd] = FrontEnd, latency_ms: float = 0.2
+        self,
+        tree: dict[str, Any],
+        kind: Callable[..., FrontEnd] = FrontEnd,
+        latency_ms: float = 0.2,
+        consoles: bool = False,
     ) -> None:
         self.world = World(latency_ms=latency_ms)
+        self.consoles = consoles
         self.tree, self.kind, self.log = tree, kind, Quiet()
         self.plan = plan = MemoryPlan(tree, self.world.now_s * 1e3 + LEAD_MS)
         self.record = plan.record("conductor", Process(self.world, "conductor"))
-        self.fronts: dict[int, tuple[Process, FrontEndService]] = {}
+        self.fronts: dict[int, tuple[Process, Daemon]] = {}
         self.starts = 0
         play_services(Process(self.world, "services"), plan)
         for hall in range(len(plan.day["fleet"].halls)):
@@ -121,8 +127,11 @@
     def _start(self, number: int) -> None:
         self.starts += 1
         process = Process(self.world, f"front {number}")
-        found = check_front_end("(in memory)", front_settings(self.plan, self.tree, number))
-        service = FrontEndService(process, found, self.log, self.kind, process=f"p{self.starts}")
+        settings = front_settings(self.plan, self.tree, number)
+        if self.consoles:
+            settings["console"] = {"port": CONSOLE_PORTS + number}
+        found = check_front_end("(in memory)", settings)
+        service = Daemon(process, found, self.log, self.kind, process=f"p{self.starts}", spent=lambda: 0.0)
         service.startService()
         self.record.note("front started", fe=f"front-{number}")
         self.fronts[number] = process, service
--- a/petrelway/settings/front.py
+++ b/petrelway/settings/front.py
@@ -96,6 +96,22 @@
     share: Annotated[float, Meta(ge=0)] = 0.0
 
 
+class ConsoleWanted(Strict):
+    port: Port
+    address: Name = "127.0.0.1"
+    token_file: str = ""  # mode 600; whoever has its content may end the daemon. Empty: read-only
+
+
+class SelfGuard(Strict):
+    """Bounds from which the daemon gives something up by itself."""
+
+    lag_ms: Some = 60.0
+    open: Annotated[int, Meta(ge=1, le=1_000_000)] = 5_000
+    buffered_mb: Annotated[float, Meta(gt=0, le=10_000)] = 64.0
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 3_000
+    background_share: Annotated[float, Meta(gt=0, le=0.9)] = 0.1
+
+
 class LogWanted(Strict):
     level: Literal["debug", "info", "warning", "error"] = "info"
     form: Literal["json", "console"] = "json"
@@ -115,8 +131,10 @@
     "cold": ColdStart,
     "ration": Ration,
     "log": LogWanted,
+    "console": ConsoleWanted,
+    "guard": SelfGuard,
 }
-OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log"))
+OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log", "console", "guard"))
 
 
 def read_front_end(file: str) -> dict[str, Any]:
@@ -133,6 +151,7 @@
         ("keeping", HowCopiesAreKept),
         ("ration", Ration),
         ("log", LogWanted),
+        ("guard", SelfGuard),
     ):
         found.setdefault(name, shape())
     if faults := between(found):
