Closed seconds roll into minutes once; garbage collection after the start; bare pass-through

Change: the present second's counts go into its minute when it closes; serve freezes what was loaded at the start and collects less often; the pass-through is the bare intake, host and links again.

--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import sys
 import time
@@ -13,6 +14,9 @@
 from ..settings.reading import SettingsFault
 
 
+COLLECT = (20_000, 20, 50)  # allocations before a young collection, and how many make the next older
+
+
 def read_or_exit(read, file: str, as_json: bool = False):
     """What `read` gives for the file; on faults prints them and exits with 2."""
     try:
@@ -50,6 +54,7 @@
     from twisted.internet import error, reactor
 
     from ..daemon.service import Daemon
+    from ..front.service import FrontEndService
     from ..rehearsal.baselines import POLICIES
 
     wanted = found["log"]
@@ -62,7 +67,9 @@
         ) from problem
     if policy not in POLICIES:
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
-    front = Daemon(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
+    # the pass-through has no state to watch: it is the bare intake, host and links
+    made = FrontEndService if policy == "pass-through" else Daemon
+    front = made(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
     try:
         front.startService()
     except ValueError as problem:
@@ -73,6 +80,11 @@
             f"{file}: {section}.port: found {problem.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free port"
         ) from problem
+    # danger: a full collection walks all that lives, and each trigger waits for it; what was loaded at the
+    # start stays for good, and what triggers leave behind is mostly freed by its counts
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECT)
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
     reactor.run()
 
--- a/petrelway/console/telemetry.py
+++ b/petrelway/console/telemetry.py
@@ -54,23 +54,36 @@
         return name
 
     def add(self, now: float, keys: list[tuple[str, str, str]]) -> None:
-        for table, size in ((self.seconds, 1000), (self.minutes, 60_000)):
-            at = int(now // size)
-            if at > table[-1][0]:  # a clock that steps back counts on in the present window
-                table.append((at, Counter()))
-            counts = table[-1][1]
-            for key in keys:
-                counts[key] += 1
+        at = int(now // 1000)
+        if at > self.seconds[-1][0]:  # a clock that steps back counts on in the present window
+            self._close(at)
+        counts = self.seconds[-1][1]
+        for key in keys:
+            counts[key] += 1
+
+    def _close(self, at: int) -> None:
+        """The present second is over: its counts go into its minute, once."""
+        second, counts = self.seconds[-1]
+        minute = second // 60
+        if minute > self.minutes[-1][0]:
+            self.minutes.append((minute, Counter()))
+        self.minutes[-1][1].update(counts)
+        self.seconds.append((at, Counter()))
 
     def over(self, now: float, seconds: int) -> Counter:
         """The sums of the last so many seconds, or of whole minutes where more than a minute is asked."""
         total: Counter = Counter()
-        table, size, count = (
-            (self.seconds, 1000, seconds) if seconds <= 60 else (self.minutes, 60_000, seconds // 60)
-        )
-        for at, counts in table:
-            if at > int(now // size) - count:
+        present = int(now // 1000)
+        if seconds <= 60:
+            for at, counts in self.seconds:
+                if at > present - seconds:
+                    total.update(counts)
+            return total
+        for at, counts in self.minutes:
+            if at > present // 60 - seconds // 60:
                 total.update(counts)
+        if self.seconds[-1][0] > present - seconds:
+            total.update(self.seconds[-1][1])
         return total
 
     def series(self, now: float, field: str, dimension: str = "all", name: str = "") -> list[int]:
