--- a/tests/test_worker_process.py
+++ b/tests/test_worker_process.py
@@ -405,13 +405,13 @@
 
 
 def test_store_down_with_many_loads_waiting(rig):
-    for i in range(12):
+    for i in range(50):
         rig.package(f"f{i}", memory=30)
-    reactor.callFromThread(rig.shelf.break_with, "down", 0, 1500.0)
+    reactor.callFromThread(rig.shelf.break_with, "down", 0, 3000.0)
     until(rig.shelf.down, "not down")
-    first = [rig.front.end(rig.front.send(function=f"f{i}", memory=30.0)) for i in range(12)]
+    first = [rig.front.end(rig.front.send(function=f"f{i}", memory=30.0)) for i in range(50)]
     assert {outcome for outcome, *_ in first} <= {MISS, FULFILLED} and first[0][0] == MISS
-    for i in range(12):
+    for i in range(50):
         until(
             lambda i=i: rig.front.ask(function=f"f{i}", memory=30.0)[0] == FULFILLED, "does not come back"
         )
