Counting into minutes and log lines are background tasks; a bounded queue of lines

Cause: pages and live figures were the only background tasks; a second's counts were rolled into their minute, and each log line written to the disk, in the middle of a trigger. Change: Windows.roll and Lines.ship are pulled by tasks of their own (IDLE and KEEP); what waits is bounded, lines lost for room or a full disk are counted and said. benchmarks/console.py plays pairs in turn, benchmarks/memory.py can have viewers.

--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -45,14 +45,14 @@
         writer.close()
 
 
-async def look_on(port: int, seconds: float, open_: bool) -> tuple[list[float], int]:
-    """Page times while the day runs; one page every two seconds if the console counts as closed."""
+async def look_on(port: int, seconds: float, viewers: int) -> tuple[list[float], int]:
+    """Page times, sorted, and live updates while the day runs; nothing is asked without viewers."""
     await asyncio.sleep(5.0)  # the processes start
     counts: dict = {}
-    tasks = [asyncio.create_task(viewer(port, i < 10, counts)) for i in range(50)] if open_ else []
+    tasks = [asyncio.create_task(viewer(port, i < 10, counts)) for i in range(viewers)]
     times, end, i = [], time.monotonic() + seconds, 0
     while time.monotonic() < end:
-        if open_:
+        if viewers:
             times.append(await page(port, PAGES[i % len(PAGES)]))
             i += 1
             await asyncio.sleep(0.02)
@@ -60,7 +60,7 @@
             await asyncio.sleep(0.2)
     for task in tasks:
         task.cancel()
-    return times, counts.get("live", 0)
+    return sorted(times), counts.get("live", 0)
 
 
 def play(rate: int, seconds: int, open_: bool) -> dict:
@@ -74,12 +74,11 @@
             time.sleep(0.05)
         time.sleep(0.2)
         port = json.loads((record / "front-0.json").read_text())["console"]["port"]
-        times, live = asyncio.run(look_on(port, seconds - 3.0, open_))
+        times, live = asyncio.run(look_on(port, seconds - 3.0, 50 if open_ else 0))
         out, err = process.communicate()
         if process.returncode not in (0, 1):
             raise SystemExit(err)
         found = json.loads(out)
-        times.sort()
         found["pages"], found["live"] = times, live
         return found
 
@@ -186,24 +185,32 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rate", type=int, default=990)
     parser.add_argument("--seconds", type=int, default=12)
+    parser.add_argument("--pairs", type=int, default=1, help="of a closed and an open run, at each rate")
     asked = parser.parse_args()
     sketch()
     cooperate()
     for rate in (10, asked.rate, 2 * asked.rate):
-        rows = {word: play(rate, asked.seconds, word == "open") for word in ("closed", "open")}
-        for word, r in rows.items():
-            pages = (
-                f"; {len(r['pages'])} pages, median {r['pages'][len(r['pages']) // 2]:.0f} ms, worst "
-                f"{r['pages'][-1]:.0f} ms; {r['live']} live updates"
-                if r["pages"]
-                else ""
-            )
-            print(
-                f"{rate:5}/s console {word:6}: "
-                f"fulfilled {r['outcomes'].get('fulfilled', 0)} of {r['triggers']}, "
-                f"p50 {r['p50_ms']:.1f} ms, p99 {r['p99_ms']:.1f} ms, "
-                f"CPU {r['front_cpu_ms_per_answer']:.3f} ms{pages}"
-            )
+        ratios = []
+        for pair in range(asked.pairs):
+            words = ("closed", "open") if pair % 2 == 0 else ("open", "closed")  # the machine's pace drifts
+            rows = {word: play(rate, asked.seconds, word == "open") for word in words}
+            ratios.append(rows["open"]["p99_ms"] / rows["closed"]["p99_ms"])
+            for word, r in rows.items():
+                pages = (
+                    f"; {len(r['pages'])} pages, median {r['pages'][len(r['pages']) // 2]:.0f} ms, worst "
+                    f"{r['pages'][-1]:.0f} ms; {r['live']} live updates"
+                    if r["pages"]
+                    else ""
+                )
+                print(
+                    f"{rate:5}/s console {word:6}: "
+                    f"fulfilled {r['outcomes'].get('fulfilled', 0)} of {r['triggers']}, "
+                    f"p50 {r['p50_ms']:.1f} ms, p99 {r['p99_ms']:.1f} ms, "
+                    f"CPU {r['front_cpu_ms_per_answer']:.3f} ms{pages}",
+                    flush=True,
+                )
+        ratios.sort()
+        print(f"{rate:5}/s p99 open over closed: " + " ".join(f"{r:.2f}" for r in ratios), flush=True)
 
 
 if __name__ == "__main__":
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -1,18 +1,23 @@
 """Resident memory of one front end while executors and functions come and go: flat, or it leaks.
 
 Plays a day of rolling deploys with one-off functions on sockets and prints the memory by the minute, and the
-growth from the second minute to the last. Ten minutes by default: not for CI. `--minutes`.
+growth from the second minute to the last. Ten minutes by default: not for CI. `--minutes`; `--viewers`: so
+many look on at its console all the time, ten of them a byte a second, and pages are asked in turn.
 """
 
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
+from console import look_on
+
 DAY = """
 local minutes = %d;
 {
@@ -36,18 +41,29 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--minutes", type=int, default=10)
-    minutes = parser.parse_args().minutes
+    parser.add_argument("--viewers", type=int, default=0)
+    asked = parser.parse_args()
+    minutes = asked.minutes
     with tempfile.TemporaryDirectory() as folder:
         day, record = Path(folder) / "day.jsonnet", Path(folder) / "record"
         day.write_text(DAY % minutes)
-        done = subprocess.run(
-            [sys.executable, "-m", "petrelway", "rehearse", str(day), "--json", "--record", str(record)],
-            capture_output=True,
-            text=True,
-        )
-        if done.returncode not in (0, 1):
-            raise SystemExit(done.stderr)
-        found = json.loads(done.stdout)
+        words = ["rehearse", str(day), "--json", "--record", str(record)]
+        process = subprocess.Popen(
+            [sys.executable, "-m", "petrelway", *words, *(["--consoles"] if asked.viewers else [])],
+            stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)  # fmt: skip
+        if asked.viewers:
+            while not (record / "front-0.json").exists():
+                time.sleep(0.05)
+            time.sleep(0.2)
+            port = json.loads((record / "front-0.json").read_text())["console"]["port"]
+            times, live = asyncio.run(look_on(port, 60.0 * minutes - 5.0, asked.viewers))
+            print(
+                f"{asked.viewers} viewers: {live} live updates; {len(times)} pages, worst {times[-1]:.0f} ms"
+            )
+        out, err = process.communicate()
+        if process.returncode not in (0, 1):
+            raise SystemExit(err)
+        found = json.loads(out)
         used: dict[int, list[float]] = {}
         for text in (record / "conductor.jsonl").read_text().splitlines():
             line = json.loads(text)
@@ -57,7 +73,9 @@
     print(f"{minutes} minutes, {found['triggers']} triggers, 8 executors replaced a minute, 15% one-offs")
     print("resident MB by the minute: " + " ".join(f"{m:.1f}" for m in marks))
     if len(marks) > 2:
-        print(f"minute 2 to {len(marks)}: {marks[-1] - marks[1]:+.1f} MB ({marks[-1] / marks[1]:.3f} times)")
+        print(
+            f"minute 2 to {len(marks)}: {marks[-1] - marks[1]:+.1f} MB ({marks[-1] / marks[1]:.3f} times)"
+        )
     print(f"broken rules {len(found['broken_rules'])}, service {found['service']:.3f}")
 
 
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -59,7 +59,7 @@
 
     wanted = found["log"]
     try:
-        log = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
+        log, lines = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
     except OSError as problem:
         raise click.UsageError(
             f"{file}: log.file: found {wanted.file!r} ({problem.strerror}); allowed: a file "
@@ -68,8 +68,11 @@
     if policy not in POLICIES:
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
     # the pass-through has no state to watch: it is the bare intake, host and links
-    made = FrontEndService if policy == "pass-through" else Daemon
-    front = made(reactor, found, log, POLICIES[policy], time.perf_counter if meter else None)
+    meter_s = time.perf_counter if meter else None
+    if policy == "pass-through":
+        front = FrontEndService(reactor, found, log, POLICIES[policy], meter_s)
+    else:
+        front = Daemon(reactor, found, log, POLICIES[policy], meter_s, lines=lines)
     try:
         front.startService()
     except ValueError as problem:
@@ -86,6 +89,7 @@
     gc.freeze()
     gc.set_threshold(*COLLECT)
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
+    reactor.addSystemEventTrigger("after", "shutdown", lines.finish)
     reactor.run()
 
 
--- a/petrelway/commands/workers.py
+++ b/petrelway/commands/workers.py
@@ -36,7 +36,7 @@
 
     place, listen, wanted = found["worker"], found["listen"], found["log"]
     loads, calls, copies = found["loads"], found["calls"], found["copies"]
-    log = logs.start(wanted.form, wanted.level, wanted.file, worker=place.name)
+    log, _ = logs.start(wanted.form, wanted.level, wanted.file, worker=place.name)
     written = None
     if record:
         from ..standin.records import Record
--- a/petrelway/console/telemetry.py
+++ b/petrelway/console/telemetry.py
@@ -43,6 +43,7 @@
         self.seconds: deque[tuple[int, Counter]] = deque([(int(now // 1000), Counter())], SECONDS)
         self.minutes: deque[tuple[int, Counter]] = deque([(int(now // 60_000), Counter())], MINUTES)
         self.names: dict[str, set[str]] = {}
+        self.closed: deque[tuple[int, Counter]] = deque()  # seconds that are over, not yet in their minutes
 
     def name(self, dimension: str, name: str) -> str:
         known = self.names.setdefault(dimension, set())
@@ -62,8 +63,17 @@
             counts[key] += 1
 
     def _close(self, at: int) -> None:
-        """The present second is over: its counts go into its minute, once."""
-        second, counts = self.seconds[-1]
+        """The present second is over. Danger: where nobody calls `roll`, what waits for it would pile up."""
+        self.closed.append(self.seconds[-1])
+        self.seconds.append((at, Counter()))
+        while len(self.closed) >= SECONDS:
+            self.roll()
+
+    def roll(self) -> bool:
+        """Put one second that is over into its minute; whether there was one. For the background."""
+        if not self.closed:
+            return False
+        second, counts = self.closed.popleft()
         minute = second // 60
         begun = minute > self.minutes[-1][0]
         if begun:
@@ -71,14 +81,14 @@
         self.minutes[-1][1].update(counts)
         if begun:
             self._forget(minute)
-        self.seconds.append((at, Counter()))
+        return True
 
     def _forget(self, minute: int) -> None:
         """Danger: deploys bring new names for ever; those that no window holds give up their places."""
         while self.minutes[0][0] <= minute - MINUTES:
             self.minutes.popleft()
         self.names.clear()
-        for _, counts in self.minutes:
+        for _, counts in (*self.minutes, *self.closed, self.seconds[-1]):
             for dimension, name, _ in counts:
                 if name != OTHERS:
                     self.names.setdefault(dimension, set()).add(name)
@@ -95,8 +105,9 @@
         for at, counts in self.minutes:
             if at > present // 60 - seconds // 60:
                 total.update(counts)
-        if self.seconds[-1][0] > present - seconds:
-            total.update(self.seconds[-1][1])
+        for at, counts in (*self.closed, self.seconds[-1]):
+            if at > present - seconds:
+                total.update(counts)
         return total
 
     def series(self, now: float, field: str, dimension: str = "all", name: str = "") -> list[int]:
--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -16,11 +16,13 @@
 from ..console.telemetry import Telemetry
 from ..front.ask import Ask
 from ..front.service import FrontEndService
+from ..logs import Lines
 from .shedding import Shedder, Step
 
 SLICE_MS, BURST_MS = 3.0, 30.0
 BACKGROUND_LAG_MS = 15.0  # from this lag on background work gets less
 LONGEST_WAIT_MS = 400.0  # of a background task: a page's few steps fit into a second
+HOUSEKEEPING_MS = 250.0
 
 
 class Daemon(FrontEndService):
@@ -35,10 +37,11 @@
         meter: Callable[[], float] | None = None,
         process: str = "",
         spent: Callable[[], float] = time.perf_counter,
+        lines: Lines | None = None,
     ) -> None:
         super().__init__(reactor, found, log, kind, meter, process)
         self.name = found["front_end"].name
-        self.spent = spent
+        self.spent, self.lines = spent, lines
         self.console: Console | None = None
         self.console_port = None
 
@@ -72,6 +75,9 @@
         self.intake.guard = self._guard
         self.background.on_lag.append(self._lag_seen)
         self.background.start()
+        self.background.run("counts into minutes", Class.IDLE, self._roll()).addErrback(lambda _: None)
+        if self.lines is not None:
+            self.ship()
         if wanted is not None:
             self.console = Console(self.reactor, self, self.background, self.log, token)
             try:
@@ -83,6 +89,20 @@
                 raise
             self.log.info("console started", address=wanted.address, port=self.console_port.getHost().port)
 
+    def _roll(self):
+        while True:
+            yield None if self.telemetry.windows.roll() else HOUSEKEEPING_MS
+
+    def ship(self) -> None:
+        """From now on log lines are written as a background task; at its end all that wait."""
+        self.lines.at_once = False
+        done = self.background.run("log lines", Class.KEEP, self._ship())
+        done.addBoth(lambda _: self.lines.finish())
+
+    def _ship(self):
+        while True:
+            yield None if self.lines.ship() else HOUSEKEEPING_MS
+
     def _guard(self, ask: Ask) -> float:
         return self.shedder.ask(self.now(), ask.customer, ask.repeat)
 
--- a/petrelway/logs.py
+++ b/petrelway/logs.py
@@ -4,6 +4,8 @@
 
 import logging
 import sys
+from collections import deque
+from typing import Any, TextIO
 
 import structlog
 
@@ -11,9 +13,70 @@
 FORMS = ("json", "console")
 
 
-def start(form: str, level: str, path: str = "", **bound) -> structlog.typing.FilteringBoundLogger:
-    """A logger for one process; `path` empty: standard error. Raises OSError if it can't be opened."""
-    stream = open(path, "a", buffering=1, encoding="utf-8") if path else sys.stderr  # noqa: SIM115
+LINES_BOUND = 5000  # lines that wait to be written
+BATCH = 50  # lines written in one step
+
+
+class Lines:
+    """A stream whose lines wait until there is time to write them; bounded, what is too much is counted.
+
+    >>> import io
+    >>> out = io.StringIO(); lines = Lines(out, bound=2); lines.at_once = False
+    >>> for text in ("a", "b", "c"): _ = lines.write(text + chr(10))
+    >>> lines.ship(), lines.ship(), out.getvalue().splitlines()
+    (True, False, ['a', 'b', '(1 log lines lost: too many at once)'])
+    """
+
+    def __init__(self, stream: TextIO, bound: int = LINES_BOUND) -> None:
+        self.stream, self.bound = stream, bound
+        self.waiting: deque[str] = deque()
+        self.lost = 0
+        self.at_once = True  # until somebody ships
+
+    def write(self, text: str) -> int:
+        if self.at_once:
+            return self.stream.write(text)
+        if len(self.waiting) >= self.bound:
+            self.lost += text.count("\n")
+        else:
+            self.waiting.append(text)
+        return len(text)
+
+    def flush(self) -> None:
+        if self.at_once:
+            self.stream.flush()
+
+    def ship(self) -> bool:
+        """Write one batch; whether any line waited."""
+        if not self.waiting and not self.lost:
+            return False
+        batch = [self.waiting.popleft() for _ in range(min(BATCH, len(self.waiting)))]
+        if self.lost and not self.waiting:
+            batch.append(f"({self.lost} log lines lost: too many at once)\n")
+            self.lost = 0
+        try:
+            self.stream.write("".join(batch))
+            self.stream.flush()
+        except OSError:  # danger: a full disk must not end the shipping, nor be tried without a pause
+            self.lost += len(batch)
+            return False
+        return True
+
+    def finish(self) -> None:
+        """Write all that waits, and from now on at once: the process ends."""
+        while self.ship():
+            pass
+        self.at_once = True
+
+
+def start(
+    form: str, level: str, path: str = "", **bound: Any
+) -> tuple[structlog.typing.FilteringBoundLogger, Lines]:
+    """A logger for one process, and the stream behind it. `path` empty: standard error.
+
+    Raises OSError if the file can't be opened.
+    """
+    stream = Lines(open(path, "a", buffering=1, encoding="utf-8") if path else sys.stderr)  # noqa: SIM115
     last = (
         structlog.processors.JSONRenderer()
         if form == "json"
@@ -27,4 +90,4 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
         logger_factory=structlog.PrintLoggerFactory(stream),
     )
-    return structlog.get_logger().bind(**bound)
+    return structlog.get_logger().bind(**bound), stream
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -18,7 +18,8 @@
     read_token,
 )
 from petrelway.console.sketch import TopNames
-from petrelway.console.telemetry import EVENTS_BOUND, NAMES_BOUND, STORIES, Telemetry
+from petrelway.console.telemetry import EVENTS_BOUND, NAMES_BOUND, SECONDS, STORIES, Telemetry
+from petrelway.logs import Lines
 from petrelway.front.host import Function
 from petrelway.rehearsal.inmemory import CONSOLE_PORTS, MemoryDay
 from petrelway.standin.memory import Process
@@ -61,14 +62,22 @@
     assert ("customer", "(others)", "taken") in t.windows.over(20_000.0, 60)
     one(20_000.0 + 61 * 60_000.0, 10**7, 10.0, customer="new")  # an hour on: places are free
     one(20_000.0 + 63 * 60_000.0, 10**7 + 1, 10.0, customer="newer")
-    assert t.windows.names["customer"] == {"newer"}  # the first one still met a full table
+    before = t.service(20_000.0 + 63 * 60_000.0, 3600)["all"]
+    while t.windows.roll():
+        pass
+    assert t.service(20_000.0 + 63 * 60_000.0, 3600)["all"] == before  # rolled or not, the same counts
+    one(20_000.0 + 63 * 60_000.0, 10**7 + 2, 10.0, customer="newest")
+    assert t.windows.names["customer"] == {"newest"}  # the ones before still met a full table
+    for i in range(3 * SECONDS):  # nobody rolls: what waits stays bounded
+        one(20_000.0 + 63 * 60_000.0 + 1000.0 * i, 10**7 + 3, 10.0)
+    assert len(t.windows.closed) < SECONDS
     t.taken(0.0, -1, "m", "t", "c", "f")
     for i in range(100):
         t.decided(float(i), -1, "send", "e", "why")
     assert len(t.open[-1].events) == EVENTS_BOUND
     seconds = len(t.windows.seconds)
     one(5_000.0, 1_000_000, 10.0)  # the host's clock stepped back: it counts on
-    assert len(t.windows.seconds) == seconds and t.totals["taken"] == STORIES + 604
+    assert len(t.windows.seconds) == seconds and t.totals["taken"] == STORIES + 605 + 3 * SECONDS
 
 
 class Browser(protocol.Protocol):
@@ -327,3 +336,37 @@
     ):
         assert rig.get("/leave", "POST", "content-length: 0\r\n" + more)[0] == status
     assert left == [True] and console.counts["wrong token"] == 3
+
+
+class Disk:
+    def __init__(self, fails: int) -> None:
+        self.fails, self.text = fails, ""
+
+    def write(self, text: str) -> int:
+        if self.fails:
+            self.fails -= 1
+            raise OSError("full")
+        self.text += text
+        return len(text)
+
+    def flush(self) -> None:
+        pass
+
+
+def test_log_lines_are_shipped_in_the_background_and_none_is_lost_unsaid():
+    disk, rig = Disk(fails=1), Rig()
+    lines = rig.daemon.lines = Lines(disk, bound=100)
+    rig.daemon.ship()
+    rig.to(0.5)
+    for i in range(130):
+        lines.write(f"line {i}\n")
+    assert disk.text == ""  # nothing is written while the caller waits
+    rig.to(2.0)
+    written = disk.text.splitlines()
+    whole = [x for x in written if x.startswith("line")]
+    assert disk.fails == 0 and not lines.waiting and whole == [f"line {i}" for i in range(50, 100)]
+    assert written[-1] == f"({130 - len(whole)} log lines lost: too many at once)"
+    lines.write("the last\n")
+    rig.daemon.stopService()
+    rig.to(12.0)
+    assert disk.text.endswith("the last\n") and lines.at_once  # the end writes what waits
