Load generator: open loop, several processes merged, latency from when each trigger was due

Cause: the program is to be loaded from outside, and a generator that waits for answers hides a stall. Change: petrelway load TARGET FILE: Poisson or even arrivals, steps, surges, traces (JSON lines, CSV); parts of a load are exactly the whole; hdrhistogram; what was not sent, timed out or lost is counted.

--- a/petrelway/commands/__init__.py
+++ b/petrelway/commands/__init__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from . import emulations, fronts, looks, rehearsals, standins, workers
+from . import emulations, fronts, loads, looks, rehearsals, standins, workers
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -13,6 +13,6 @@
     """petrelway: a gateway that runs calls on workers which load functions on demand."""
 
 
-for group in (fronts, looks, rehearsals, emulations, standins, workers):
+for group in (fronts, looks, rehearsals, emulations, loads, standins, workers):
     for verb in group.VERBS:
         main.add_command(verb)
