--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -1,7 +1,7 @@
 """The emulation: its event queue against heapq on the same trace, and how long days of growing size take.
 
-Not for CI. `--sizes small` plays the first two sizes; `full` all, the last of which takes many minutes and
-several GB.
+Not for CI. `--sizes small` plays the first two sizes; `full` all; `great` the last alone, which takes
+many minutes and several GB.
 """
 
 from __future__ import annotations
@@ -127,8 +127,8 @@
         )
 
 
-def sizes(full: bool) -> None:
-    for size in SIZES if full else SIZES[:2]:
+def sizes(some: list) -> None:
+    for size in some:
         fronts, executors, rate, seconds, functions = size
         began = time.perf_counter()
         day = EmulatedDay(tree(*size))
@@ -149,10 +149,11 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--sizes", choices=["small", "full"], default="full")
+    parser.add_argument("--sizes", choices=["small", "full", "great"], default="full")
     asked = parser.parse_args()
-    queues()
-    sizes(asked.sizes == "full")
+    if asked.sizes != "great":
+        queues()
+    sizes({"small": SIZES[:2], "full": SIZES, "great": SIZES[3:]}[asked.sizes])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,230 @@
+"""An overload with many front ends, emulated: what is in flight, the limits, service; and answers to it.
+
+Each answer is a change of the module by a subclass, played on the same days: an overload that comes and goes,
+a steady one, and a busy day without any. Not for CI.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import os
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from emulator import tree
+
+from petrelway import choice
+from petrelway.choice import FrontEnd
+from petrelway.emulator.day import EmulatedDay
+from petrelway.interface import Decision, Verb
+from petrelway.rehearsal.baselines import LeastLoaded, RandomChoice
+from petrelway.rehearsal.report import sums
+from petrelway.rules.checker import figures, judge
+
+SECONDS = 20
+
+
+class Gradient(FrontEnd):
+    """The limit follows the gradient of the delay: usual over seen, in place of steps."""
+
+    def _paced(self, e, t, took_ms, now):
+        self._seen = took_ms
+        super()._paced(e, t, took_ms, now)
+        if now > self.cut_ms + self.mean_ms:
+            ratio = max(0.5, min(1.0, 2.0 * self.quick_ms / max(1.0, self.mean_ms)))
+            if ratio < 1.0:
+                self.limit = max(choice.LIMIT_LEAST, ratio * self.limit + math.sqrt(self.limit) * 0.5)
+                self.cut_ms = now
+
+
+class ChancePhase(FrontEnd):
+    """Each front end cuts at times of its own: not all in the same moment."""
+
+    def _cut(self, holder, busy, now):
+        if now > holder.cut_ms + self.mean_ms:
+            super()._cut(holder, busy, now)
+            if holder.cut_ms == now:
+                holder.cut_ms += self.chance.random() * self.mean_ms
+
+
+class DeepCut(FrontEnd):
+    """Late answers cut the limit for all own triggers by a factor of 0.7."""
+
+    def _cut(self, holder, busy, now):
+        if holder is self and now > self.cut_ms + self.mean_ms:
+            self.limit = max(choice.LIMIT_LEAST, 0.7 * min(self.limit, busy + 1.0))
+            self.cut_ms = now
+        else:
+            super()._cut(holder, busy, now)
+
+
+class LowFloor(FrontEnd):
+    """The limit for all own triggers may fall under two: under one, by chance."""
+
+    def _cut(self, holder, busy, now):
+        if holder is self and now > self.cut_ms + self.mean_ms:
+            self.limit = max(0.3, choice.LIMIT_CUT * min(self.limit, busy + 1.0))
+            self.cut_ms = now
+        else:
+            super()._cut(holder, busy, now)
+
+    def _place(self, t, now):
+        if self.limit < 1.0 and not t.sent and t.luck > self.limit and self.view(now) < choice.SPARSE:
+            if not self._hopeless(t, now):
+                t.function.held[t.index] = None
+                choice.heapq.heappush(self.due, (now + choice.LOOK_AGAIN_MS, t.index))
+                return None
+            return self._give_up(t)
+        return super()._place(t, now)
+
+
+class SpreadRetry(FrontEnd):
+    """Nacks at once in a jam, with retry times spread over the longest allowed."""
+
+    def _give_up(self, t):
+        d = super()._give_up(t)
+        if d.verb is Verb.NACK:
+            longest = self.permits.longest_retry_ms
+            return Decision(Verb.NACK, t.index, ms=longest * (0.5 + 0.5 * self.chance.random()))
+        return d
+
+
+class ByPayoff(FrontEnd):
+    """In a jam what is small for its payoff goes first: dear ones need more room under the limit."""
+
+    def _place(self, t, now):
+        dear = t.size > 1.5 * self.mean_size
+        if dear and not t.sent and self.out >= 0.6 * self.limit and self.view(now) < choice.SPARSE:
+            if self._hopeless(t, now):
+                return self._give_up(t)
+            t.function.held[t.index] = None
+            choice.heapq.heappush(self.due, (now + choice.LOOK_AGAIN_MS, t.index))
+            return None
+        return super()._place(t, now)
+
+
+class ToldShare(FrontEnd):
+    """No more own triggers in flight than the told rates' share would have at the usual time."""
+
+    def _place(self, t, now):
+        share = 1.5 * self.gate.told_rate * self.quick_ms
+        if not t.sent and self.out >= max(2.0, share) and self.view(now) < choice.SPARSE:
+            if self._hopeless(t, now):
+                return self._give_up(t)
+            t.function.held[t.index] = None
+            choice.heapq.heappush(self.due, (now + choice.LOOK_AGAIN_MS, t.index))
+            return None
+        return super()._place(t, now)
+
+
+class QuickToo(FrontEnd):
+    """Cut when an answer is slow against the usual, not only when it is late."""
+
+    def _paced(self, e, t, took_ms, now):
+        super()._paced(e, t, took_ms, now)
+        usual = self.kind_pace.get(e.listing.machine, 1.0)
+        if took_ms > max(0.4 * t.tariff.quoted_ms, 2.5 * t.size * usual):
+            self._cut(self, self.out, now)
+
+
+class NoSecond(FrontEnd):
+    """No further transmissions while answers are slow."""
+
+    def _second(self, t, now):
+        if self.mean_ms > 2.5 * self.quick_ms:
+            self.seconds = min(self.seconds, 0.9)
+        return super()._second(t, now)
+
+
+ANSWERS = {
+    "as it is": FrontEnd,
+    "gradient": Gradient,
+    "chance phase": ChancePhase,
+    "deep cut": DeepCut,
+    "low floor": LowFloor,
+    "spread retries": SpreadRetry,
+    "by payoff": ByPayoff,
+    "told share": ToldShare,
+    "slow is late": QuickToo,
+    "no seconds": NoSecond,
+    "least-loaded": LeastLoaded,
+    "random": RandomChoice,
+}
+
+
+def day(word: str, seed: int, fronts: int, executors: int) -> dict:
+    capacity = executors * 7.6 / 0.25  # cores times speed over the work of a trigger, a second
+    load = {"burst": 0.75, "steady": 1.4, "busy": 0.85}[word]
+    found = tree(fronts, executors, load * capacity, SECONDS, 300)
+    found["day"]["seed"] = seed
+    for work in found["traffic"]["work"].values():
+        work["mean_ms"] = 250.0
+    found["troubles"] = [{"kind": "burst", "at_s": 6, "len_s": 7, "size": 2.2}] if word == "burst" else []
+    return found
+
+
+def play(name: str, word: str, seed: int, fronts: int, executors: int, series: bool = False) -> dict:
+    played = EmulatedDay(day(word, seed, fronts, executors), ANSWERS[name])
+    rows: list[dict] = []
+    if series:
+
+        def look() -> None:
+            fes = [f.host.front_end for f in played.fronts.values()]
+            rows.append({
+                "t": played.sim.now_s * 1e3 - played.epoch_ms,
+                "out": sum(fe.out for fe in fes),
+                "limit": sum(fe.limit for fe in fes),
+                "held": sum(len(f.held) for fe in fes for f in fe.functions.values()),
+                "queued": sum(x.machine.waits for x in played.lives.values() if x.machine),
+                "loads": sum(x.machine.loads for x in played.lives.values() if x.machine),
+                "view": sum(fe.view(played.sim.now_s * 1e3) for fe in fes) / len(fes),
+            })  # fmt: skip
+            played.sim.later(0.5, look)
+
+        played.sim.later(0.2, look)
+    lines = played.play()
+    found = sums(lines, played.day)
+    return {"answer": name, "day": word, "seed": seed, "service": found["service"],
+            "worst": found["worst_10_s"], "found": found["found_share"], "p90": found["p90_ms"],
+            "nacked": found["outcomes"].get("nacked", 0), "broken": len(judge(lines, figures(played.day))),
+            "series": rows}  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--fronts", type=int, default=60)
+    parser.add_argument("--executors", type=int, default=24)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--answers", nargs="+", default=list(ANSWERS), choices=list(ANSWERS))
+    parser.add_argument("--days", nargs="+", default=["burst", "steady", "busy"])
+    parser.add_argument("--processes", type=int, default=os.cpu_count())
+    parser.add_argument("--series", help="a JSON file for the course of the first day")
+    asked = parser.parse_args()
+    size = asked.fronts, asked.executors
+    if asked.series:
+        found = play(asked.answers[0], asked.days[0], 1, *size, series=True)
+        Path(asked.series).write_text(json.dumps(found))
+    with ProcessPoolExecutor(asked.processes) as pool:
+        runs = [(a, d, s) for d in asked.days for a in asked.answers for s in range(1, asked.seeds + 1)]
+        rows = list(pool.map(play, *zip(*((*r, *size) for r in runs))))
+    print(
+        f"{asked.fronts} front ends, {asked.executors} executors, {asked.seeds} seeds of {SECONDS} s; service"
+    )
+    for answer in asked.answers:
+        words = []
+        for word in asked.days:
+            some = [r for r in rows if r["answer"] == answer and r["day"] == word]
+            n = len(some)
+            broken = sum(r["broken"] for r in some)
+            words.append(
+                f"{word} {sum(r['service'] for r in some) / n:.3f} (worst 10 s "
+                f"{sum(r['worst'] for r in some) / n:.3f}, found {sum(r['found'] for r in some) / n:.3f}"
+                + (f", BROKEN {broken})" if broken else ")")
+            )
+        print(f"{answer:16} " + "  ".join(words), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/validate.py
+++ b/benchmarks/validate.py
@@ -1,4 +1,4 @@
-"""The same days on sockets and emulated, side by side. Not for CI: each day on sockets takes its own length."""
+"""The same days on sockets and emulated, side by side. Not for CI: a day on sockets takes its own length."""
 
 from __future__ import annotations
 
@@ -37,7 +37,9 @@
         file = Path(folder) / "day.json"
         file.write_text(json.dumps(day))
         done = subprocess.run(
-            [sys.executable, "-m", "petrelway", "rehearse", str(file), "--json"], capture_output=True, text=True
+            [sys.executable, "-m", "petrelway", "rehearse", str(file), "--json"],
+            capture_output=True,
+            text=True,
         )
         if done.returncode not in (0, 1):
             raise SystemExit(done.stderr)
