--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -136,6 +136,8 @@
             "orders and loads": sum(len(e.orders) for e in fe.executors.values()),
             "executors ready": len(fe.ready),
             "functions known": len(fe.functions),
+            "limit of own triggers": round(fe.limit, 1),
+            "share of late answers": round(fe.late, 3),
             "bytes held": self.host.held_bytes,
             "clients' connections": self.intake.connections,
             "lag ms": round(p.lag_ms, 2),
