--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -326,7 +326,7 @@
         self.wanted: deque[tuple[Executor, Function]] = deque()
         self.seconds = SECOND_SAVED
         self.late = 0.0  # share of late answers
-        self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers in flight, in a sparse view
+        self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers, in all but a rich view
         self.asked, self.asked_ms, self.start, self.out = 0.0, now, now, 0
         self.mean_ms = self.mean_size = self.quick_ms = UNHEARD_SIZE_MS
         self.kind_pace: dict[int, float] = {}
--- a/petrelway/commands/emulations.py
+++ b/petrelway/commands/emulations.py
@@ -10,6 +10,7 @@
 
 import click
 
+from ..settings.days import check_day
 from ..settings.reading import SettingsFault, evaluate
 from .fronts import read_or_exit
 
@@ -49,6 +50,20 @@
     sys.exit(1 if faults else 0)
 
 
+def _read_day(file: str):
+    tree = evaluate(file)
+    check_day(file, tree)
+    return tree
+
+
+def _place(output: str) -> Path:
+    """Said before hours of runs, not after them."""
+    path = Path(output)
+    if not path.parent.is_dir() or not os.access(path.parent, os.W_OK):
+        raise click.UsageError(f"--output: found {output}; allowed: a file in a folder that can be written")
+    return path
+
+
 def _keep(folder: Path, played, lines) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.glob("*.jsonl")):
@@ -64,14 +79,19 @@
 @click.option(
     "-o", "--output", type=click.Path(), required=True, help="Results; an unfinished file goes on."
 )
-@click.option("--processes", default=0, help="Runs at a time; 0: as many as there are cores.")
+@click.option(
+    "--processes",
+    type=click.IntRange(0, 512),
+    default=0,
+    help="Runs at a time; 0: as many as there are cores.",
+)
 def experiment(file, output, processes) -> None:
     """Play the grid or the random sweep that FILE (Jsonnet) describes, one process a run."""
-    from ..emulator.experiment import NotResumable, open_results, play, read_experiment
+    from ..emulator.experiment import NotResumable, RunFailed, open_results, play, read_experiment
     from ..emulator.results import ResultsFault
 
     asked = read_or_exit(read_experiment, file)
-    path = Path(output)
+    path = _place(output)
     try:
         results = open_results(asked, path)
     except (NotResumable, ResultsFault) as problem:
@@ -82,7 +102,11 @@
         def progress(done: int, of: int) -> None:
             bar.update(done - bar.pos)
 
-        play(asked, results, path, processes, progress)
+        try:
+            play(asked, results, path, processes, progress)
+        except RunFailed as failure:
+            click.echo(f"\na run failed: {failure}; {results.count} runs are in {path.name}", err=True)
+            sys.exit(3)
     broken = sum(1 for n in results.columns.get("broken_rules", []) if n)
     click.echo(f"{results.count} runs in {path.name}, {before} of them from before; {broken} broke a rule")
     sys.exit(1 if broken else 0)
@@ -166,12 +190,16 @@
 @click.command()
 @click.argument("day", type=click.Path())
 @click.option(
-    "--tries", default=50, show_default=True, help="Days to draw; as many again to cut a find down."
+    "--tries",
+    type=click.IntRange(1, 100_000),
+    default=50,
+    show_default=True,
+    help="Days to draw; as many again to cut a find down.",
 )
 @click.option("--seed", default=1, show_default=True)
 @click.option("--policy", type=click.Choice(POLICY_WORDS), default="petrelway", show_default=True)
 @click.option("--kinds", default="", help="Only these troubles, by comma.")
-@click.option("--processes", default=0)
+@click.option("--processes", type=click.IntRange(0, 512), default=0)
 @click.option("-o", "--output", type=click.Path(), required=True, help="The find, as a day file.")
 def hunt(day, tries, seed, policy, kinds, processes, output) -> None:
     """Search days around DAY for a broken rule or the worst service; cut it down. Exit 1 on a breach."""
@@ -181,7 +209,7 @@
     from ..emulator.hunt import Find, all_kinds, cut_down, drawn
     from ..emulator.runs import judged
 
-    base = read_or_exit(evaluate, day)
+    base, place = read_or_exit(_read_day, day), _place(output)
     some = kinds.split(",") if kinds else all_kinds()
     for kind in some:
         if kind not in all_kinds():
@@ -206,7 +234,7 @@
 
     small, played = cut_down(worst, play, tries)
     told = f"rules {sorted(small.rules)}" if small.rules else "no rule"
-    Path(output).write_text(
+    place.write_text(
         f"// found by a hunt: {told} broken, service {small.service:.3f} (emulated, {policy})\n"
         + json.dumps(small.tree, indent=2)
         + "\n"
--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -12,7 +12,7 @@
 
 from ..rules.checker import figures, judge
 from ..rules.records import RecordFault, read
-from ..settings.days import check_day, playable
+from ..settings.days import check_day, check_playable
 from ..settings.reading import SettingsFault, evaluate
 from .fronts import read_or_exit
 
@@ -30,13 +30,6 @@
     return show
 
 
-def _raise(fault: Exception):
-    def read(_: str):
-        raise fault
-
-    return read
-
-
 @click.command()
 @click.argument("day", type=click.Path(), required=False)
 @click.option("--bench-day", type=click.Path(), help="A bench's day file instead, scaled to this machine.")
@@ -75,9 +68,7 @@
         tree = read_or_exit(evaluate, day, as_json)
     if seed is not None:
         tree.setdefault("day", {})["seed"] = seed
-    found = read_or_exit(lambda f: check_day(f, tree), day or bench_day, as_json)
-    if faults := playable(found):
-        read_or_exit(_raise(SettingsFault(day or bench_day, faults)), day or bench_day, as_json)
+    found = read_or_exit(lambda f: check_playable(f, tree), day or bench_day, as_json)
     if found["fleet"].workers and (kinds := unplayable(found)):
         allowed = ", ".join(sorted(PLAYED))
         raise click.UsageError(f"troubles: found {', '.join(kinds)}; allowed with real workers: {allowed}")
--- a/petrelway/emulator/day.py
+++ b/petrelway/emulator/day.py
@@ -33,14 +33,11 @@
 class Tape:
     """The record of a day in memory, line by line as the checker reads it."""
 
-    def __init__(self, sim: World, epoch_ms: float, kinds: frozenset[str] | None = None) -> None:
-        """`kinds`: keep only these; None: all."""
-        self.sim, self.epoch_ms, self.kinds = sim, epoch_ms, kinds
+    def __init__(self, sim: World, epoch_ms: float) -> None:
+        self.sim, self.epoch_ms = sim, epoch_ms
         self.lines: list[dict[str, Any]] = []
 
     def note(self, kind: str, **what: Any) -> None:
-        if self.kinds is not None and kind not in self.kinds:
-            return
         what["t"] = round(self.sim.now_s * 1e3 - self.epoch_ms, 3)
         what["k"] = kind
         self.lines.append(what)
@@ -71,14 +68,10 @@
 
 
 class EmulatedDay:
-    """One playing. `kind` is the module or a baseline of its shape; `kinds` limits what is recorded."""
+    """One playing. `kind` is the module or a baseline of its shape."""
 
     def __init__(
-        self,
-        tree: dict[str, Any],
-        kind: Callable[..., FrontEnd] = FrontEnd,
-        kinds: frozenset[str] | None = None,
-        sim: World | None = None,
+        self, tree: dict[str, Any], kind: Callable[..., FrontEnd] = FrontEnd, sim: World | None = None
     ) -> None:
         """Raises SettingsFault for a day that is none."""
         self.day = day = check_day("(emulated)", tree)
@@ -86,10 +79,9 @@
         self.sim = sim = sim or World()
         self.epoch_ms = sim.now_s * 1e3 + LEAD_MS
         self.script = write(day)
-        self.tape = Tape(sim, self.epoch_ms, kinds)
+        self.tape = Tape(sim, self.epoch_ms)
         net, seed, fleet = day["network"], day["day"].seed, day["fleet"]
         self.network = Network(
-            len(fleet.halls),
             net.within_ms,
             net.between_ms,
             net.jitter,
@@ -206,9 +198,8 @@
             self.roster_up = True
 
     def _network(self, h: Happening) -> None:
-        now = self.sim.now_s * 1e3
         if h.what in ("cut", "end cut"):
-            self.network.cut(now, h.which % len(self.day["fleet"].halls), h.what == "cut")
+            self.network.cut(h.which % len(self.day["fleet"].halls), h.what == "cut")
         elif h.what in ("far", "end far"):
             self.network.far(h.size if h.what == "far" else 0.0)
         else:
--- a/petrelway/emulator/experiment.py
+++ b/petrelway/emulator/experiment.py
@@ -175,6 +175,10 @@
     return Experiment(file, evaluate(file))
 
 
+class RunFailed(Exception):
+    """A run ended without its figures; its text says which, and why. What was played is saved."""
+
+
 class NotResumable(Exception):
     """Results are there that another experiment or commit made."""
 
@@ -201,7 +205,10 @@
     processes: int,
     progress: Callable[[int, int], None],
 ) -> None:
-    """Play what is not yet in the results, one process a run on so many cores; saves as it goes."""
+    """Play what is not yet in the results, one process a run on so many cores; saves as it goes.
+
+    Raises RunFailed.
+    """
     names = [AXIS + name for name in experiment.axes]
     done = {
         (*zip(experiment.axes, (row[n] for n in names)), row["policy"], int(row["seed"]))
@@ -228,10 +235,12 @@
                 over, _ = wait(running, return_when=FIRST_COMPLETED)
                 for future in over:
                     point = running.pop(future)
+                    try:
+                        figures = future.result()
+                    except Exception as error:  # a run that raises, or a process that the system ended
+                        raise RunFailed(f"{point.key()}: {error!r}") from error
                     row: dict[str, Any] = {AXIS + name: label for name, label in point.labels}
-                    results.add(
-                        {**row, "policy": point.policy, "seed": float(point.seed), **future.result()}
-                    )
+                    results.add({**row, "policy": point.policy, "seed": float(point.seed), **figures})
                     progress(results.count, experiment.size())
                     if results.count % SAVE_EVERY == 0:
                         results.save(path)
--- a/petrelway/emulator/links.py
+++ b/petrelway/emulator/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -10,13 +11,14 @@
 from ..front.links import GREETING_MS, RETRY_LEAST_MS, RETRY_MOST_MS
 from ..front.proof import Key
 from ..interface import Outcome
-from ..standin.memory import World
 from ..standin.life import Life
 from ..standin.machine import Work
+from ..standin.memory import World
 from ..wire import codec
 from .network import DIAL_MS, Network
 
 NO_LOAD = codec.Load()
+WAITING_BOUND = 1024  # messages that nobody reads or that a cut keeps; past it the link is broken off
 
 
 class Cable:
@@ -76,13 +78,16 @@
         self.there = Cable(sim, network, hall, life.post.hall)
         self.back = Cable(sim, network, life.post.hall, hall)
         self.broken, self.reading = False, not life.never_read
-        self.inbox: list[tuple[float, Callable, tuple]] = []
+        self.inbox: deque[tuple[float, Callable, tuple]] = deque()
         self.sim, self.sent_ms = sim, 0.0
         life.wires.append(self)
 
     def say(self, what: Callable, *args: Any) -> None:
         """The front end's words, in order."""
-        self.there.carry(self._arrive, self.sim.now_s * 1e3, what, args)
+        if len(self.inbox) + len(self.there.held or ()) >= WAITING_BOUND:
+            self.link.hang_up()
+        else:
+            self.there.carry(self._arrive, self.sim.now_s * 1e3, what, args)
 
     # -- at the executor
 
@@ -141,7 +146,7 @@
     def read_on(self, on: bool) -> None:
         self.reading = on
         while self.inbox and self.reading and not self.broken:
-            self._arrive(*self.inbox.pop(0))
+            self._arrive(*self.inbox.popleft())
 
 
 class EmulatedLink:
@@ -245,15 +250,15 @@
     def moved(self, address: str, port: int) -> None:
         if port != self.port:
             self.port = port
-            self._hang_up()
+            self.hang_up()
 
     def restarted(self, started_ms: float) -> None:
         if self.wire is not None and self.wire.started_ms < started_ms - 1.0:
-            self._hang_up()
+            self.hang_up()
 
     def close(self) -> None:
         self.closed = True
-        self._hang_up()
+        self.hang_up()
 
     # -- the connection
 
@@ -291,7 +296,7 @@
             self.backoff = Backoff(self.chance, RETRY_LEAST_MS, RETRY_MOST_MS)
         self.next_ms = self.place.sim.now_s * 1e3 + self.backoff.failed()
 
-    def _hang_up(self) -> None:
+    def hang_up(self) -> None:
         """From this side."""
         if (wire := self.wire) is not None:
             wire.there.carry(wire.front_gone)
--- a/petrelway/emulator/network.py
+++ b/petrelway/emulator/network.py
@@ -12,19 +12,18 @@
 
 
 class Network:
-    """Between `halls` halls; -1 is a place near them all, where clients are: no cut, no loss on their ways.
+    """Between halls, by number; -1 is a place near them all, where clients are: no cut and no loss there.
 
-    >>> net = Network(2, 1.0, 5.0, 0.0, 0.0, 200.0, random.Random(1))
+    >>> net = Network(1.0, 5.0, 0.0, 0.0, 200.0, random.Random(1))
     >>> net.arrival(100.0, 0, 0, 0.0), net.arrival(100.0, 0, 1, 0.0), net.arrival(100.0, 0, 1, 200.0)
     (101.0, 105.0, 200.0)
-    >>> net.cut(100.0, 1, True)
+    >>> net.cut(1, True)
     >>> net.reaches(0, 1), net.reaches(0, 0)
     (False, True)
     """
 
     def __init__(
         self,
-        halls: int,
         within_ms: float,
         between_ms: float,
         jitter: float,
@@ -32,14 +31,14 @@
         again_ms: float,
         chance: random.Random,
     ) -> None:
-        self.halls, self.within_ms, self.between_ms = halls, within_ms, between_ms
+        self.within_ms, self.between_ms = within_ms, between_ms
         self.jitter, self.loss, self.again_ms, self.chance = jitter, loss, again_ms, chance
         self.usual_loss, self.farther_ms = loss, 0.0
         self.cuts: dict[int, int] = {}  # hall -> cuts that overlap there
 
     # -- what happens to it
 
-    def cut(self, now: float, hall: int, on: bool) -> None:
+    def cut(self, hall: int, on: bool) -> None:
         """A hall is cut off from all others, or no more; cuts may overlap."""
         left = self.cuts.get(hall, 0) + (1 if on else -1)
         if left > 0:
--- a/petrelway/emulator/plots.py
+++ b/petrelway/emulator/plots.py
@@ -37,8 +37,9 @@
         return None
 
 
-def draw(results: Results, axis: str, figure: str, folder: Path) -> list[Path]:
-    """SVG and PNG of one figure against one axis; other axes are averaged over, seeds make the bands."""
+def draw(results: Results, axis: str, figure: str, stem: Path) -> list[Path]:
+    """SVG and PNG, under that name, of one figure against one axis. Other axes are averaged over, seeds
+    make the bands."""
     rows, column = results.rows(), AXIS + axis
     labels = list(dict.fromkeys(row[column] for row in rows))
     at = {label: number(label) for label in labels}
@@ -73,7 +74,7 @@
     plot.legend()
     made = []
     for kind in ("svg", "png"):
-        made.append(folder / f"{figure}-{_file(axis)}.{kind}")
+        made.append(stem.with_name(f"{stem.name}.{kind}"))
         picture.savefig(made[-1], dpi=110, metadata={"Date": None} if kind == "svg" else None)
     plt.close(picture)
     return made
@@ -92,10 +93,9 @@
         f"{html.escape(str(results.meta.get('decisions')))}.</p>",
     ]
     axes = results.names(AXIS)
-    for axis in axes:
+    for number, axis in enumerate(axes):
         for figure in figures:
-            draw(results, axis, figure, folder)
-            name = f"{figure}-{_file(axis)}.svg"
+            name = draw(results, axis, figure, folder / f"{figure}-{number}-{_file(axis)}")[0].name
             parts.append(f"<h2>{html.escape(figure)} by {html.escape(axis)}</h2>")
             parts.append(
                 f"<img src='{html.escape(name)}' alt='{html.escape(figure)} by {html.escape(axis)}'>"
--- a/petrelway/load/running.py
+++ b/petrelway/load/running.py
@@ -9,7 +9,6 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .arrivals import TraceFault
 from .plan import LoadPlan, read_load
 from .sender import MOST_MS, Sender, histogram
 
@@ -48,7 +47,7 @@
         if failed:
             raise LoadFailed(failed[0])
         pipe.send(part_of(sender))
-    except (LoadFailed, TraceFault, OSError) as problem:
+    except (LoadFailed, OSError) as problem:
         pipe.send(str(problem))
 
 
--- a/petrelway/load/sender.py
+++ b/petrelway/load/sender.py
@@ -5,15 +5,17 @@
 import json
 from collections import Counter
 from collections.abc import Iterator
+from urllib.parse import quote
 
 from hdrh.histogram import HdrHistogram
 from twisted.internet import defer, interfaces
 
 from ..standin.clients import Asker, Pool
-from .arrivals import Due
+from .arrivals import Due, TraceFault
 
 MOST_MS = 3_600_000
-TICK_MS = 1.0  # what is due within this time is sent together
+TICK_MS = 0.1  # what is due within this time is sent together
+PLAIN = "".join(chr(c) for c in range(33, 127) if chr(c) not in '"%')  # as CloudEvents' HTTP binding has it
 
 
 def histogram() -> HdrHistogram:
@@ -54,12 +56,20 @@
         self.done: defer.Deferred[None] = defer.Deferred()
 
     def start(self, epoch_s: float) -> defer.Deferred[None]:
-        """Begin at that time of the reactor; fires when all has ended."""
+        """Begin at that time of the reactor; fires when all has ended, or with the fault of a bad trace."""
         self.epoch_ms = epoch_s * 1e3
-        self.next = next(self.arrivals, None)
+        self._go_on()
         self._wait()
         return self.done
 
+    def _go_on(self) -> None:
+        try:
+            self.next = next(self.arrivals, None)
+        except TraceFault:  # danger: raised into the reactor it would leave the load waiting for ever
+            self.next = None
+            if not self.done.called:
+                self.done.errback()
+
     def now(self) -> float:
         """Ms since the epoch."""
         return self.reactor.seconds() * 1e3 - self.epoch_ms
@@ -72,10 +82,10 @@
         self.reactor.callLater(wait_ms / 1e3, self._send_due)
 
     def _send_due(self) -> None:
-        until = self.now() + TICK_MS / 10
+        until = self.now() + TICK_MS
         while self.next is not None and self.next.at_ms <= until:
-            due, self.next = self.next, next(self.arrivals, None)
-            self._send(due)
+            self._send(self.next)
+            self._go_on()
         self._wait()
 
     def _send(self, due: Due) -> None:
@@ -83,6 +93,7 @@
         if self.open >= self.open_bound:
             self._count(due, "not sent")
             return
+        put(self.lateness, self.now() - due.at_ms)
         self.open += 1
         self.serial += 1
         Try(self, due, f"{self.serial}").go()
@@ -139,10 +150,9 @@
             ("ce-id", self.id),
             ("ce-source", s.source),
             ("ce-type", "trigger"),
-            ("ce-function", self.due.function),
-            *((f"ce-{name}", value) for name, value in s.attributes.items()),
+            ("ce-function", quote(self.due.function, PLAIN)),
+            *((f"ce-{name}", quote(value, PLAIN)) for name, value in s.attributes.items()),
         ]
-        put(s.lateness, s.now() - self.due.at_ms)
         asker.ask(self, head, body)
 
     def answered(self, status: int, headers: dict[str, str]) -> None:
--- a/petrelway/rehearsal/inmemory.py
+++ b/petrelway/rehearsal/inmemory.py
@@ -12,9 +12,8 @@
 
 from ..choice import FrontEnd
 from ..daemon.service import Daemon
-from ..settings.days import check_day, playable
+from ..settings.days import check_playable
 from ..settings.front import check_front_end
-from ..settings.reading import SettingsFault
 from ..standin.memory import Process, World
 from ..standin.parts import play_clients, play_executors, play_services
 from ..standin.records import Record
@@ -69,9 +68,7 @@
     """As `standin.parts.Plan`, without files."""
 
     def __init__(self, tree: dict[str, Any], epoch_ms: float) -> None:
-        self.day = check_day("(in memory)", tree)
-        if faults := playable(self.day):
-            raise SettingsFault("(in memory)", faults)
+        self.day = check_playable("(in memory)", tree)
         self.epoch_ms = epoch_ms
         self.script = write(self.day)
         fronts = self.day["fleet"].fronts
--- a/petrelway/settings/days.py
+++ b/petrelway/settings/days.py
@@ -187,8 +187,12 @@
     return check_day(file, evaluate(file))
 
 
-def playable(found: dict[str, Any]) -> list[Fault]:
-    """What keeps a day from being played on sockets of one machine; an emulation plays it all."""
+def check_playable(file: str, tree: dict[str, Any]) -> dict[str, Any]:
+    """As `check_day`, for a day to be played on sockets of one machine; an emulation plays any.
+
+    Raises SettingsFault.
+    """
+    found = check_day(file, tree)
     faults = []
     fleet = found["fleet"]
     for name, most in (("executors", 500), ("fronts", 64)):
@@ -197,7 +201,9 @@
     for i, trouble in enumerate(found["troubles"]):
         if trouble.kind in EMULATED_ONLY:
             faults.append(Fault(f"troubles[{i}].kind", repr(trouble.kind), "only in an emulation"))
-    return faults
+    if faults:
+        raise SettingsFault(file, faults)
+    return found
 
 
 def check_day(file: str, tree: dict[str, Any]) -> dict[str, Any]:
--- a/petrelway/standin/memory.py
+++ b/petrelway/standin/memory.py
@@ -353,9 +353,8 @@
 
     def _due(self, call: Call, what: Callable, args, kw) -> None:
         if self.stopped and not self.dead:
-            call.done = (
-                False  # danger: what falls due while it stands can still be cancelled when it goes on
-            )
+            # danger: what falls due while it stands can still be cancelled when it goes on
+            call.done = False
             self.backlog.append((self._overdue, (call, what, args, kw), {}))
         elif not self.dead:
             what(*args, **kw)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,13 +8,15 @@
 
 from petrelway.choice import FrontEnd
 from petrelway.emulator.day import EmulatedDay
-from petrelway.emulator.links import Cable, EmulatedLink
+from petrelway.emulator.links import WAITING_BOUND, Cable, EmulatedLink
 from petrelway.emulator.network import DIAL_MS, Network
 from petrelway.front.links import GREETING_MS
 from petrelway.interface import NEVER_RAN, Outcome
 from petrelway.rules.checker import figures, judge
-from petrelway.settings.days import EMULATED_ONLY, KINDS
-from petrelway.standin.memory import World
+from petrelway.settings.days import EMULATED_ONLY, KINDS, check_day, check_playable
+from petrelway.settings.reading import SettingsFault
+from petrelway.standin.memory import Process, World
+from petrelway.standin.script import Happening
 
 
 def play(tree, kind=FrontEnd, **how):
@@ -53,7 +55,7 @@
 
 def net(**changes):
     told = {"within_ms": 1.0, "between_ms": 10.0, "jitter": 0.0, "loss": 0.0, "again_ms": 200.0, **changes}
-    return Network(3, **told, chance=random.Random(4))
+    return Network(**told, chance=random.Random(4))
 
 
 def test_a_cable_keeps_its_order_and_waits_for_the_end_of_a_cut():
@@ -61,10 +63,10 @@
     cable = Cable(sim, network, 0, 1)
     for i in range(200):
         sim.later(i / 1e3, cable.carry, lambda i=i: heard.append((i, sim.now_s)))
-    sim.later(0.1, network.cut, 100.0, 1, True)
-    sim.later(0.15, network.cut, 150.0, 1, True)  # two that overlap
-    sim.later(2.0, network.cut, 2000.0, 1, False)
-    sim.later(5.0, network.cut, 5000.0, 1, False)
+    sim.later(0.1, network.cut, 1, True)
+    sim.later(0.15, network.cut, 1, True)  # two that overlap
+    sim.later(2.0, network.cut, 1, False)
+    sim.later(5.0, network.cut, 1, False)
     sim.run(60.0)
     assert [i for i, _ in heard] == list(
         range(200)
@@ -116,7 +118,7 @@
         rig.life.die()
 
     def cut_off_before(rig):
-        rig.day.network.cut(0.0, 0, True)
+        rig.day.network.cut(0, True)
         rig.send()
         rig.run(DIAL_MS / 1e3 + 0.01)
         assert rig.ends == [(1, Outcome.UNREACHABLE)]
@@ -195,6 +197,33 @@
     assert len(rig.life.wires) >= 1 and len([w for w in rig.life.wires if w.link is rig.link]) == 1
 
 
+def test_what_nobody_reads_is_bounded():
+    rig = Rig()
+    rig.link.order(0, "model-0", 1, 300.0, 4)
+    rig.run(0.1)
+    rig.life.happen(Happening(0.0, "executor", 0, "never read"))
+    for i in range(WAITING_BOUND):
+        rig.send(i)
+    rig.run(0.05)
+    assert not rig.ends
+    rig.send(WAITING_BOUND)
+    assert len(rig.ends) == WAITING_BOUND + 1 and {o for _, o in rig.ends} == {Outcome.RESET}
+    assert rig.link.wire is None and not rig.link.out
+
+
+def test_what_falls_due_while_a_process_stands_can_still_be_cancelled():
+    """Danger: a time-out that fires at a thaw, after the answer that came before it in the same backlog."""
+    sim, heard = World(), []
+    process = Process(sim)
+    late = process.callLater(2.0, heard.append, "time-out")
+    process.callLater(1.5, late.cancel)
+    process.callLater(1.8, heard.append, "kept")
+    sim.later(1.0, process.freeze)
+    sim.later(3.0, process.thaw)
+    sim.run(sim.now_s + 5.0)
+    assert heard == ["kept"] and not late.active()
+
+
 def test_the_same_seed_gives_the_same_record_byte_for_byte():
     tree = day(["deploy", "hang", "balancer_crash", "loss"], seed=4, network={"jitter": 0.4})
     one, other = (msgspec.json.encode(play(tree)[1]) for _ in range(2))
@@ -305,9 +334,10 @@
 
 
 def test_what_only_an_emulation_plays():
-    from petrelway.settings.days import check_day, playable
-
-    found = check_day("x", day(EMULATED_ONLY, fleet={"fronts": 65, "executors": 501}))
-    assert [f.path for f in playable(found)] == ["fleet.executors", "fleet.fronts"] + [
+    tree = day(EMULATED_ONLY, fleet={"fronts": 65, "executors": 501})
+    check_day("x", tree)
+    with pytest.raises(SettingsFault) as caught:
+        check_playable("x", tree)
+    assert [f.path for f in caught.value.faults] == ["fleet.executors", "fleet.fronts"] + [
         f"troubles[{i}].kind" for i in range(3)
     ]
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -12,7 +12,7 @@
 from petrelway.commands import main
 from petrelway.emulator import experiment as experiments
 from petrelway.emulator.compare import paired
-from petrelway.emulator.experiment import AXIS, Experiment, NotResumable, open_results, play
+from petrelway.emulator.experiment import AXIS, Experiment, NotResumable, RunFailed, open_results, play
 from petrelway.emulator.hunt import Find, cut_down, drawn, simpler
 from petrelway.emulator.results import Results, ResultsFault, load
 from petrelway.settings.days import KINDS, check_day
@@ -123,6 +123,20 @@
         open_results(e, path)
 
 
+def test_a_run_that_fails_is_named_and_the_others_are_kept(tmp_path, monkeypatch):
+    monkeypatch.setattr(experiments, "run", fails_at_ten)
+    path, e = tmp_path / "r.npz", Experiment("x", asked())
+    with pytest.raises(RunFailed, match="'10'"):
+        play(e, open_results(e, path), path, 1, lambda done, of: None)
+    assert load(path).count == 4
+
+
+def fails_at_ten(tree, policy):
+    if tree["traffic"]["rate"] == 10:
+        raise MemoryError
+    return {"service": 1.0}
+
+
 def rows(chance, mean, spread, seeds=8, point="a"):
     return [
         {"at": point, "seed": float(s), "service": chance.gauss(mean, 0.001) + spread * s}
@@ -213,6 +227,13 @@
     assert run("compare", tmp_path / "r.npz", tmp_path / "r.npz")[0] == 0
     assert run("plot", tmp_path / "r.npz", "-o", tmp_path, "--figures", "x")[0] == 2
     assert run("compare", file, file)[0] == 2
+    file.write_text("{}")
+    for words in (["hunt", file, "-o", tmp_path / "find.jsonnet"], ["hunt", file, "--tries", 0, "-o", "x"],
+                  ["experiment", file, "-o", tmp_path / "x.npz"]):  # fmt: skip
+        assert run(*words)[0] == 2
+    file.write_text(json.dumps(asked()))
+    code, out = run("experiment", file, "-o", tmp_path / "none" / "x.npz")
+    assert code == 2 and "--output" in out
 
 
 def test_a_hunt_finds_and_saves_a_day(tmp_path, monkeypatch):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from urllib.parse import unquote
 
 import pytest
 from twisted.web import resource, server
@@ -144,6 +145,26 @@
         assert where in str(caught.value) and "allowed" in str(caught.value)
 
 
+def test_a_trace_that_goes_bad_ends_the_load(tmp_path):
+    """Danger: raised into the reactor it would leave the load waiting for ever."""
+    file = tmp_path / "t.csv"
+    file.write_text("time,function\n0.1,f\n0.2,g\nsoon,h\n0.3,i\n")
+    for keep in (2, 0):
+        file.write_text("\n".join(["time,function", *["0.1,f"] * keep, "soon,h", "0.3,i"]))
+        rig, failed = Rig(from_trace(file)), []
+        rig.ended.addErrback(failed.append)
+        rig.world.run(rig.began + 5)
+        assert len(failed) == 1 and f"line {2 + keep}" in failed[0].getErrorMessage()
+        assert len(rig.target.came) == keep
+
+
+def test_any_name_may_be_sent():
+    names = ["a b", 'q"uote', "100%", "\u6a21", "line\nbreak\r\nx: y", "plain-1_2.3"]
+    rig = Rig([Due(float(i), name, 1.0) for i, name in enumerate(names)])
+    assert rig.run()["ended"] == {"fulfilled": len(names)}
+    assert sorted(unquote(f) for _, f, _ in rig.target.came) == sorted(names)
+
+
 def test_parts_of_a_load_are_the_whole():
     tree = {"arrivals": {"rate": 500, "seconds": 4}, "functions": {"f": 1, "g": 2}, "how": {"processes": 3}}
     plan = LoadPlan("x.jsonnet", tree)
