An answer counts in an executor's pace by its size: short triggers made all look crowded

Examined: the reasons of nacks, printed by a probe in _place. 1,701 of 2,133 had waited in vain for a place, with all executors at their limits of 2 to 4 own triggers, though answers took 150 ms on average of a quoted time of 500. At fault: _paced averaged took/size without weight; short triggers, whose time is mostly not their work, gave paces of 4 to 12, so pace x mean size, which is read as the usual answer's time, came to 500 ms and more and cut the limits.

Change: an answer's weight in the pace is its size over the mean size, so that pace x mean size is the mean time.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -450,7 +450,9 @@
         self.kind_pace[kind] = usual * (1.0 + (KIND_RISE if pace > usual else -KIND_FALL))
         e.pace, e.paced_ms = self.pace(e, now) if e.pace else min(pace, PACE_CLIP * usual), now
         gain = PACE_GAIN if e.pace < AILING_PACE * usual else 0.5  # re-read fast
-        e.pace += gain * (min(pace, e.pace * PACE_CLIP) - e.pace)
+        # danger: a short trigger's time is mostly not its work; a plain mean of ratios calls all crowded
+        weight = min(PACE_CLIP, t.size / self.mean_size)
+        e.pace += min(1.0, gain * weight) * (min(pace, e.pace * PACE_CLIP) - e.pace)
         if e.pace * self.mean_size > CROWDED * t.tariff.quoted_ms:
             self._cut(e, e.busy, now)
         elif e.busy + 1 >= e.limit:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -369,3 +369,20 @@
         host.fe.out, host.fe.limit = 9, 9.0
         host.take(work=100.0)
         assert verbs(host.pull()) == expected, view
+
+
+def test_short_triggers_do_not_crowd():
+    """Danger: what an answer takes beside its work (network, waiting for input) makes short triggers look many
+    times slower than their work; a plain mean of ratios cut the limits of executors with room."""
+    host = Host(1)
+    host.teach(0)
+    host.rich()
+    e = host.fe.executors[0]
+    for turn in range(400):
+        work, took = ((5.0, 80.0), (200.0, 260.0))[turn % 2]  # 170 ms on average of a quoted time of 1000
+        t = host.take(0, work=work)
+        host.pull(took)
+        host.end(t, Outcome.FULFILLED, executor=0, took=took)
+    mean_ms = e.pace * host.fe.mean_size
+    assert 100.0 < mean_ms < 300.0, mean_ms
+    assert e.limit >= 12.0, e.limit
