Links forget where a transmission went once it is answered; tests of codecs, door, links, node

Examined: a test in memory that plays thousands of new clients, functions and executors and compares every table with its start size; all were back but the links' map from transmission to connection, which only withdrawals and broken connections emptied (Wire.answered). Excluded by the same test: door, host, module.

Also: a transmission takes a connection that is being dialled with nothing on it rather than dial another, and an executor whose connections are all silent counts as unreachable, not as too busy to take one.

--- a/petrelway/node/links.py
+++ b/petrelway/node/links.py
@@ -127,7 +127,7 @@
                  body: bytes) -> None:
         link = self.link
         if (key := self.open.pop(id, None)) is not None:
-            del self.ids[key]
+            del self.ids[key], link.where[key]
             self.used_ms = self.heard_ms
             if self.ledger.ended(key):
                 link.ears.transmission_ended(link.executor, key, outcome, warmth, crowd, NOTHING, "", body)
@@ -143,6 +143,10 @@
 
     # -- the link's side
 
+    def rank(self) -> tuple[bool, int, float]:
+        """The least is the best for one more transmission, of those with nothing out."""
+        return not self.up, len(self.asked), -self.heard_ms
+
     def knows(self, id: bytes) -> bool:
         return id in self.open or id in self.given_up or id in self.asked
 
@@ -220,7 +224,7 @@
         wire = None if self.closed else self._pick(id)
         if wire is None:
             # between two tries: danger: holding it hides the outage
-            down = not any(w.up for w in self.wires)
+            down = not any(w.up and not w.spent for w in self.wires)
             outcome = Outcome.UNREACHABLE if down and not self.closed else Outcome.UNSENT
             self.ears.transmission_ended(self.executor, key, outcome, 0, 0, NOTHING, "", b"")
             return
@@ -235,8 +239,8 @@
         for w in self.wires:
             if w.spent or w.paused or w.knows(id) or len(w.open) >= self.streams:
                 continue
-            if w.up and not w.open:
-                if idle is None or (len(w.asked), -w.heard_ms) < (len(idle.asked), -idle.heard_ms):
+            if not w.open:  # also one that is being dialled: a further dial would be no sooner
+                if idle is None or w.rank() < idle.rank():
                     idle = w
             elif shared is None or (not w.up, len(w.open)) < (not shared.up, len(shared.open)):
                 shared = w
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -27,6 +27,7 @@
 
     def __init__(self, room=None):
         self.written, self.closed, self.aborted, self.producer = [], False, False, None
+        self.reading = True
         self.room = room  # bytes until the producer is told to pause; None: no end
         self.bufferSize = 65536
 
@@ -43,6 +44,12 @@
     def unregisterProducer(self):
         self.producer = None
 
+    def pauseProducing(self):
+        self.reading = False
+
+    def resumeProducing(self):
+        self.reading = True
+
     def loseConnection(self):
         self.closed = True
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -372,8 +372,8 @@
 
 
 def test_short_triggers_do_not_crowd():
-    """Danger: what an answer takes beside its work (network, waiting for input) makes short triggers look many
-    times slower than their work; a plain mean of ratios cut the limits of executors with room."""
+    """Danger: what an answer takes beside its work (network, waiting for input) makes short triggers look
+    many times slower than their work; a plain mean of ratios cut the limits of executors with room."""
     host = Host(1)
     host.teach(0)
     host.rich()
--- /dev/null
+++ b/tests/test_node_door.py
@@ -0,0 +1,208 @@
+"""The door in memory: usual clients, bad ones, and what one does to the other."""
+
+import json
+
+from doubles import Log, Pipe, clock, lost
+from platform_side import CALL, request
+from twisted.internet import defer
+
+from petrelway.front.host import BROKEN_OFF, FULFILLED, NACKED, Answer
+from petrelway.node import door as doors
+from petrelway.node.door import Door
+from petrelway.platform import lines
+
+ASKS = lines.Asks([("safe", 4000.0, False), ("keyed", 4000.0, True)], ["acme", "bolt"])
+
+
+class Rig:
+    def __init__(self, bound=100):
+        self.clock, self.log = clock(), Log()
+        self.taken, self.gone, self.retry = [], [], None
+        self.well = True
+        self.door = Door(ASKS, self.take, lambda customer: self.retry, lambda: self.well, self.clock,
+                         self.log, bound)
+
+    def take(self, passed, tariff, customer, remaining, work, memory, lanes, load):
+        answer = defer.Deferred(lambda _: self.gone.append(passed.call))
+        self.taken.append((passed, answer))
+        return answer
+
+    def client(self):
+        caller, pipe = self.door.buildProtocol(None), Pipe()
+        caller.makeConnection(pipe)
+        return caller, pipe
+
+    def step(self, ms):
+        for _ in range(int(ms / 10)):
+            self.clock.advance(0.01)
+
+    def turns(self):
+        while any(c.again for c in self.door.callers):
+            self.clock.advance(0)
+
+
+def said(pipe):
+    return [json.loads(line) for line in pipe.take().splitlines()]
+
+
+def call(i):
+    return f"{i:016x}"
+
+
+def test_each_answer_goes_out_at_once_in_any_order():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(b"".join(request(i, call=call(i)) for i in (1, 2, 3)))
+    answers = ((1, Answer(NACKED, 120.0)), (0, Answer(FULFILLED, body=b"ok")), (2, Answer(BROKEN_OFF)))
+    for i, answer in answers:
+        rig.taken[i][1].callback(answer)
+    nacked, fulfilled, broken = said(pipe)
+    assert nacked == {"jsonrpc": "2.0", "id": 2,
+                      "error": {"code": -32014, "message": "nacked", "data": {"pushback": 120}}}
+    assert fulfilled == {"jsonrpc": "2.0", "id": 1, "result": {"bytes": "b2s="}}
+    assert broken["id"] == 3 and broken["error"]["code"] != -32014
+    assert not client.open and not rig.door.calls
+
+
+def test_check_says_whether_it_serves():
+    rig = Rig()
+    client, pipe = rig.client()
+    for rig.well in (True, False):
+        client.dataReceived(b'{"jsonrpc":"2.0","id":1,"method":"check"}\n')
+    assert [s["result"]["serving"] for s in said(pipe)] == [True, False]
+
+
+def test_taken_back_or_gone_no_answer_is_written():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request(1, call=call(1)) + request(2, call=call(2)))
+    client.dataReceived(b'{"jsonrpc":"2.0","method":"interrupt","params":{"call":"%s"}}\n' % call(1).encode())
+    assert rig.gone == [bytes.fromhex(call(1))] and pipe.take() == b""
+    client.dataReceived(b'{"jsonrpc":"2.0","method":"interrupt","params":{"call":"%s"}}\n' % call(9).encode())
+    client.connectionLost(lost())
+    assert len(rig.gone) == 2 and pipe.take() == b"" and not rig.door.calls and not rig.door.callers
+
+
+def test_a_wrong_request_gets_an_error_and_the_others_go_on():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request(1, call=call(1)) + request(2, call="xyz") + request(3, "nobody"))
+    assert [(s["id"], s["error"]["code"]) for s in said(pipe)] == [
+        (2, lines.BAD_PARAMS), (3, lines.NO_METHOD)]
+    assert len(rig.taken) == 1 and not pipe.closed
+    for i in range(doors.FAULTS_BOUND):  # one that keeps on is closed
+        client.dataReceived(request(10 + i, call="xyz"))
+        rig.turns()
+    assert pipe.closed and rig.gone == [bytes.fromhex(call(1))]
+
+
+def test_what_cannot_be_told_apart_closes_the_connection():
+    table = [
+        b"nonsense\n",
+        b"x" * (lines.LINE_BOUND + 1),
+        request(1, call=call(1)) + request(1, call=call(2)),  # two requests under one number
+        request(1, call=call(1)) + request(2, call=call(1), body=b"other"),  # an open id, another body
+    ]
+    for data in table:
+        rig = Rig()
+        client, pipe = rig.client()
+        client.dataReceived(data)
+        assert pipe.closed and said(pipe)[-1]["error"], data[:60]
+        assert len(rig.gone) == len(rig.taken) and not client.open  # nothing of it is served
+        client.dataReceived(b"x" * 10_000_000)  # 60 MB may follow: nothing is collected
+        assert len(client.lines.held) <= len(data)
+        rig.step(doors.ABORT_MS + 10)
+        assert pipe.aborted
+
+
+def test_somebody_elses_open_id_does_not_touch_them():
+    rig = Rig()
+    usual, pipe = rig.client()
+    usual.dataReceived(request(1, call=CALL))
+    bad, bad_pipe = rig.client()
+    bad.dataReceived(request(1, call=CALL, body=b"other"))
+    assert said(bad_pipe)[0]["error"]["code"] == lines.BAD_PARAMS and not rig.gone
+    bad.connectionLost(lost())
+    rig.taken[0][1].callback(Answer(FULFILLED, body=b"ok"))
+    assert said(pipe)[0]["result"] == {"bytes": "b2s="}
+
+
+def test_a_number_is_good_once_without_a_memory_that_grows():
+    rig = Rig()
+    client, pipe = rig.client()
+    for i in range(1, 3001):
+        client.dataReceived(request(i, call=call(i)))
+        rig.turns()
+        rig.taken.pop()[1].callback(Answer(FULFILLED))
+    assert not client.used.above and not pipe.closed
+    client.dataReceived(request(17, call=call(9999)))
+    assert pipe.closed
+    used = doors.Used(100)
+    for number in range(1, 100_000, 7):
+        assert used.enter(number)
+    assert len(used.above) <= 101 and not used.enter(8)
+
+
+def test_a_flood_of_one_connection_takes_turns_with_the_others():
+    rig = Rig()
+    rude, rude_pipe = rig.client()
+    rude.dataReceived(b"".join(request(i, call=call(i)) for i in range(1, 301)))
+    assert len(rig.taken) == doors.LINES_A_TURN and not rude_pipe.reading
+    usual, _ = rig.client()
+    usual.dataReceived(request(1, call=CALL))
+    assert rig.taken[-1][0].call.hex() == CALL  # served before the rest of the flood is read
+    rig.turns()
+    assert len(rig.taken) == 1 + doors.OPEN_BOUND and len(rig.gone) == doors.OPEN_BOUND
+    assert rude_pipe.closed and len(usual.open) == 1
+
+
+def test_silent_half_and_idle_connections_are_closed():
+    rig = Rig()
+    silent, half, idle, at_work = (rig.client() for _ in range(4))
+    half[0].dataReceived(request(1)[:-1])
+    for client, number in ((idle, 1), (at_work, 2)):
+        client[0].dataReceived(request(1, call=call(number)))
+    rig.taken[0][1].callback(Answer(FULFILLED))
+    rig.step(doors.SILENT_MS + doors.SWEEP_MS + 10)
+    assert silent[1].closed and half[1].closed and not idle[1].closed and not at_work[1].closed
+    assert doors.SILENT_MS + doors.SWEEP_MS < 3000.0
+    rig.step(doors.IDLE_MS)
+    assert idle[1].closed and not at_work[1].closed
+
+
+def test_the_longest_silent_go_when_room_is_short():
+    rig = Rig(bound=4)
+    first = rig.client()
+    first[0].dataReceived(request(1))
+    silent = [rig.client() for _ in range(3)]
+    rig.step(200)
+    for _ in range(2):
+        rig.client()
+    assert [pipe.closed for _, pipe in silent] == [True, True, False] and not first[1].closed
+
+
+def test_one_that_does_not_read_its_answers_is_closed():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request(1))
+    client.pauseProducing()
+    assert not pipe.reading
+    rig.step(doors.CLOGGED_MS + 300)
+    assert pipe.closed and rig.gone
+
+
+def test_refused_before_it_is_taken():
+    rig = Rig()
+    rig.retry = 150.0
+    client, pipe = rig.client()
+    client.dataReceived(request(1))
+    assert said(pipe)[0]["error"]["data"] == {"pushback": 150} and not rig.taken and not client.open
+
+
+def test_faults_are_logged_once_each():
+    rig = Rig()
+    for _ in range(20):
+        client, _ = rig.client()
+        client.dataReceived(request(1, call="x") + request(2, "nobody"))
+    assert rig.log.events() == ["line that can't be taken"] * 2
+    assert rig.door.counts["lines that can't be taken"] == 40
--- /dev/null
+++ b/tests/test_node_follower.py
@@ -0,0 +1,133 @@
+"""The bus follower in memory: breaks, silence, repeats, gaps, another place."""
+
+import random
+
+from doubles import Log, Net, clock, lost
+from platform_side import event, known, record
+
+from petrelway.node.follower import SILENCE_MS, Follower
+
+
+class Rig:
+    def __init__(self, start=True):
+        self.clock, self.net, self.log, self.heard = clock(), Net(), Log(), []
+        self.follower = Follower("127.0.0.1", 7070, ["east"], ["std"], self.clock, self.net.connect,
+                                 random.Random(1), self.listed, self.log)
+        if start:
+            self.follower.start(known((1, 7001), offset=3))
+
+    def listed(self, places, complete):
+        self.heard.append(([(p.executor, p.stage) for p in places], complete))
+
+    def step(self, ms):
+        for _ in range(int(ms / 10)):
+            self.clock.advance(0.01)
+
+
+def test_it_goes_on_after_what_is_known():
+    rig = Rig()
+    assert rig.heard == [([("s-00000001", "ready")], True)] and rig.follower.whole
+    wire, pipe = rig.net.accept()
+    assert pipe.take() == b"\x00" * 7 + b"\x03"
+    wire.dataReceived(event(4, 2, record(2, 7002)) + event(4, 0) + event(5, 2, record(2, 7002, state=1)))
+    assert rig.heard[1:] == [([("s-00000002", "ready")], False), ([("s-00000002", "draining")], False)]
+
+
+def test_told_twice_counts_once():
+    rig = Rig()
+    wire, _ = rig.net.accept()
+    for _ in range(3):
+        wire.dataReceived(event(4, 2, record(2, 7002)))
+    assert len(rig.heard) == 2 and rig.follower.number == 4
+
+
+def test_a_break_within_an_event_asks_again_from_the_last_whole_one_at_once():
+    rig = Rig()
+    wire, _ = rig.net.accept()
+    wire.dataReceived(event(4, 2, record(2, 7002)) + event(5, 2, record(2, 7002, state=1))[:20])
+    wire.connectionLost(lost())
+    rig.clock.advance(0)
+    wire, pipe = rig.net.accept()
+    assert pipe.take() == b"\x00" * 7 + b"\x04" and len(rig.heard) == 2
+    wire.dataReceived(event(5, 2, record(2, 7002, state=1)))
+    assert rig.heard[-1] == ([("s-00000002", "draining")], False)
+    assert rig.log.events() == ["event bus down", "event bus up"]
+
+
+def test_a_gap_or_a_spoilt_event_asks_again():
+    """Danger: a lost change could be a drain."""
+    for spoilt in (event(6, 2, record(3, 7003)), b"\xff" * 30, event(4, 7)):
+        rig = Rig()
+        wire, pipe = rig.net.accept()
+        wire.dataReceived(spoilt)
+        assert pipe.aborted and len(rig.heard) == 1
+        rig.step(100)
+        wire, pipe = rig.net.accept()
+        assert pipe.take() == b"\x00" * 7 + b"\x03"
+    rig = Rig()
+    for _ in range(2):  # a bus that really has no more of it must not be asked for ever
+        wire, pipe = rig.net.accept()
+        wire.dataReceived(event(6, 2, record(3, 7003)))
+        rig.step(100)
+    assert len(rig.heard) == 2 and rig.follower.number == 6
+
+
+def test_silence_is_found_within_what_the_rules_allow_but_not_after_an_own_stall():
+    rig = Rig()
+    wire, pipe = rig.net.accept()
+    for _ in range(5):
+        rig.step(1000)
+        wire.dataReceived(event(3, 0))
+    rig.clock.advance(SILENCE_MS / 1e3)  # this process stood still
+    wire.dataReceived(event(3, 0))
+    assert not pipe.aborted
+    rig.step(1000)
+    assert not pipe.aborted
+    rig.step(SILENCE_MS)
+    assert pipe.aborted and SILENCE_MS < 3000.0
+    rig.net.accept()
+    wire.dataReceived(event(4, 2, record(9, 7009)))  # a word from a connection let go says nothing
+    assert len(rig.heard) == 1
+
+
+def test_a_bus_that_is_away_is_asked_with_growing_pauses():
+    rig = Rig()
+    tries = 0
+    for _ in range(1000):
+        while rig.net.dialled:
+            rig.net.refuse()
+            tries += 1
+        rig.step(10)
+    assert 10 < tries < 30 and rig.log.events() == ["event bus down"]
+
+
+def test_another_place_goes_on_from_the_same_number():
+    for dialling in (True, False):
+        rig = Rig()
+        if not dialling:
+            old, old_pipe = rig.net.accept()
+            old.dataReceived(event(4, 2, record(2, 7002)))
+        rig.follower.moved("127.0.0.1", 7071)
+        if dialling:
+            rig.net.dialled.popleft()
+        else:
+            assert old_pipe.aborted
+            old.connectionLost(lost())
+        assert len(rig.net.dialled) == 1 and rig.net.dialled[0][0] == 7071
+        wire, pipe = rig.net.accept()
+        assert pipe.take()[-1] == (3 if dialling else 4)
+        rig.step(1000)
+        assert not rig.net.dialled
+        for _ in range(3):  # several in quick succession
+            rig.follower.moved("127.0.0.1", 7072)
+            rig.follower.moved("127.0.0.1", 7073)
+        live = [d for d in rig.net.dialled if not d[2].called]
+        assert len(live) == 1 and live[0][0] == 7073
+
+
+def test_closed_means_closed():
+    rig = Rig()
+    wire, pipe = rig.net.accept()
+    rig.follower.close()
+    wire.connectionLost(lost())
+    assert pipe.aborted and not rig.clock.getDelayedCalls()
--- /dev/null
+++ b/tests/test_node_links.py
@@ -0,0 +1,291 @@
+"""Links on the platform's protocol, in memory: each danger that they answer, without sockets."""
+
+import random
+
+from doubles import Log, Net, clock, lost
+from platform_side import CALL, FUNCTION, answer, commands
+
+from petrelway.interface import Outcome
+from petrelway.node import links
+from petrelway.node.links import PlatformLink, Room
+from petrelway.platform.passed import Passed
+
+
+class Ears:
+    def __init__(self):
+        self.ends, self.orders, self.probes = [], [], []
+
+    def transmission_ended(self, executor, key, outcome, warmth, crowd, load, content_type, body):
+        self.ends.append((key, outcome, body))
+
+    def order_answered(self, executor, order, outcome, copies):
+        self.orders.append((order, outcome, copies))
+
+    def probe_answered(self, executor, probe, outcome, load):
+        self.probes.append((probe, outcome))
+
+
+def call(serial):
+    return serial.to_bytes(8, "big")
+
+
+class Rig:
+    def __init__(self, room=8, streams=4, withdraws=True):
+        self.clock, self.net, self.ears, self.log, self.room = clock(), Net(), Ears(), Log(), Room(room)
+        self.link = PlatformLink(0, "s-1", "127.0.0.1", 7000, "n0", "p", self.clock, self.net.connect,
+                                 random.Random(3), self.ears, self.log, self.room, streams, 250.0, 30_000.0,
+                                 withdraws)
+        self.clock.advance(0)  # the first dial
+
+    def up(self):
+        return self.net.accept()
+
+    def send(self, serial, number=0, id=None):
+        passed = Passed(id or call(serial), "safe", FUNCTION, "", b"in")
+        self.link.send((serial, number), "", FUNCTION, 0.0, 1, "safe", "acme", 900.0, 0.0, "", passed)
+
+    def ended(self):
+        ends, self.ears.ends = self.ears.ends, []
+        return [(key, outcome) for key, outcome, _ in ends]
+
+    def step(self, ms):
+        for _ in range(int(ms / 10)):
+            self.clock.advance(0.01)
+
+
+def test_each_answer_proves_what_it_says():
+    table = [(100, Outcome.FULFILLED), (102, Outcome.MISS), (103, Outcome.FULL), (104, Outcome.ERROR),
+             (105, Outcome.UNSENT)]
+    rig = Rig()
+    wire, pipe = rig.up()
+    for serial, (code, outcome) in enumerate(table):
+        rig.send(serial)
+        assert [c[:2] for c in commands(pipe.take())] == [(10, call(serial))]
+        wire.dataReceived(answer(code, call(serial), body=b"out"))
+        assert rig.ears.ends.pop() == ((serial, 0), outcome, b"out")
+
+
+def test_a_connection_each_while_there_is_room_then_shared():
+    rig = Rig(room=3, streams=2)
+    up = [rig.up()]
+    for serial in range(7):
+        rig.send(serial)
+        while rig.net.dialled:
+            up.append(rig.up())
+    assert len(up) == 3 and rig.room.used == 3
+    sent = [[c[1] for c in commands(pipe.take())] for _, pipe in up]
+    assert sorted(len(ids) for ids in sent) == [2, 2, 2]
+    assert rig.ended() == [((6, 0), Outcome.UNSENT)]  # past the bound of streams: it never left
+
+
+def test_one_spoilt_answer_takes_no_other_with_it():
+    rig = Rig()
+    up = [rig.up()]
+    for serial in range(3):
+        rig.send(serial)
+        while rig.net.dialled:
+            up.append(rig.up())
+    up[1][0].dataReceived(b"\x00" * 40)
+    assert rig.ended() == [((1, 0), Outcome.RESET)]
+    assert up[1][1].aborted and not up[0][1].closed and not up[2][1].closed
+
+
+def test_refused_before_the_hand_over_never_ran_after_it_unknown():
+    rig = Rig()
+    rig.send(1)
+    rig.net.refuse()
+    assert rig.ended() == [((1, 0), Outcome.UNREACHABLE)]
+    rig.send(2)  # between two tries: said at once, not held
+    assert rig.ended() == [((2, 0), Outcome.UNREACHABLE)]
+    assert rig.log.events() == ["link down"]
+    rig.step(300)
+    wire, pipe = rig.up()
+    assert rig.log.events() == ["link down", "link up"]
+    rig.send(3)
+    wire.connectionLost(lost())
+    assert rig.ended() == [((3, 0), Outcome.RESET)]
+
+
+def test_a_late_never_ran_of_the_first_does_not_end_the_second():
+    """Danger: both transmissions of one trigger carry its id."""
+    rig = Rig(room=1)
+    wire, pipe = rig.up()
+    rig.send(5, 0)
+    assert rig.link.withdraw((5, 0)) is Outcome.WITHDRAWN
+    assert [c[0] for c in commands(pipe.take())] == [10, 11]
+    rig.send(5, 1)  # the only connection has given the id up: it must not be used there again
+    assert pipe.take() == b"" and rig.ended() == [((5, 1), Outcome.UNSENT)]
+    rig = Rig(room=2)
+    wire, pipe = rig.up()
+    rig.send(5, 0)
+    rig.link.withdraw((5, 0))
+    rig.send(5, 1)
+    other, second = rig.up()
+    wire.dataReceived(answer(102, call(5)))
+    assert rig.ended() == [] and rig.room.counts["late answers"] == 1
+    other.dataReceived(answer(100, call(5)))
+    assert rig.ended() == [((5, 1), Outcome.FULFILLED)]
+
+
+def test_second_copies_and_unknown_ids_are_dropped_and_counted():
+    rig = Rig()
+    wire, _ = rig.up()
+    rig.send(1)
+    wire.dataReceived(answer(100, call(9)) + answer(100, call(1)) + answer(100, call(1)))
+    assert rig.ended() == [((1, 0), Outcome.FULFILLED)]
+    assert rig.room.counts["answers to no question"] == 2
+    rig.send(2)  # the connection is still good
+    wire.dataReceived(answer(100, call(2)))
+    assert rig.ended() == [((2, 0), Outcome.FULFILLED)]
+
+
+def test_half_an_answer_ends_its_connection_but_not_after_an_own_stall():
+    rig = Rig()
+    wire, pipe = rig.up()
+    rig.send(1)
+    whole = answer(100, call(1), body=b"x" * 50)
+    wire.dataReceived(whole[:30])
+    rig.clock.advance(links.HALF_MS / 1e3)  # this process stood still: the rest lies unread
+    wire.dataReceived(whole[30:])
+    assert rig.ended() == [((1, 0), Outcome.FULFILLED)]
+    rig.send(2)
+    wire.dataReceived(answer(100, call(2))[:17])
+    rig.step(links.HALF_MS + 50)
+    assert rig.ended() == [((2, 0), Outcome.RESET)] and pipe.aborted
+
+
+def test_a_silent_machine_costs_one_time_out():
+    """Danger: a machine that vanished says nothing; idle connections to it look as good as new."""
+    rig = Rig()
+    up = [rig.up()]
+    for serial in (1, 2):
+        rig.send(serial)
+        while rig.net.dialled:
+            up.append(rig.up())
+    up[1][0].dataReceived(answer(100, call(2)))
+    rig.ended()
+    rig.step(20)
+    rig.send(3)
+    rig.step(links.SILENT_MS + 50)
+    assert rig.link.withdraw((3, 0), Outcome.TIMEOUT) is Outcome.TIMEOUT
+    assert up[1][1].closed  # silent since it was used; nothing else is out on it
+    rig.step(links.SWEEP_MS + 10)
+    while rig.net.dialled:
+        rig.net.refuse()
+    rig.send(4)
+    assert rig.ended() == [((4, 0), Outcome.UNREACHABLE)]
+
+
+def test_one_answer_that_never_comes_is_no_silent_machine():
+    rig = Rig()
+    up = [rig.up()]
+    for serial in (1, 2):
+        rig.send(serial)
+        while rig.net.dialled:
+            up.append(rig.up())
+    rig.step(links.SILENT_MS + 50)
+    up[1][0].dataReceived(answer(100, call(2)))
+    rig.ended()
+    rig.link.withdraw((1, 0), Outcome.TIMEOUT)
+    assert up[0][1].closed and not up[1][1].closed
+
+
+def test_orders_have_ids_of_their_own():
+    rig = Rig()
+    wire, pipe = rig.up()
+    assert rig.link.order(7, FUNCTION, 2, 0.0, 0) is None
+    ((code, own, fields, _),) = commands(pipe.take())
+    assert (code, fields) == (14, {"key": FUNCTION, "count": "2"})
+    rig.send(1, id=own)  # a trigger whose id meets the order's open id goes elsewhere
+    assert pipe.take() == b""
+    wire.dataReceived(answer(100, own, b"count=2"))
+    assert rig.ears.orders == [(7, Outcome.FULFILLED, 2)] and rig.ended() == []
+
+
+def test_orders_end_once_however():
+    for end, expected in (
+        (lambda rig, wire, own: wire.connectionLost(lost()), [(7, Outcome.RESET, 0)]),
+        (lambda rig, wire, own: wire.dataReceived(answer(103, own, b"count=1")), [(7, Outcome.FULL, 1)]),
+        (lambda rig, wire, own: rig.link.forget_order(7), []),
+    ):
+        rig = Rig()
+        wire, pipe = rig.up()
+        rig.link.order(7, FUNCTION, 1, 0.0, 0)
+        own = commands(pipe.take())[0][1]
+        end(rig, wire, own)
+        wire.dataReceived(answer(100, own, b"count=2"))
+        assert rig.ears.orders == expected
+    rig = Rig()
+    assert rig.link.order(8, FUNCTION, 1, 0.0, 0) is Outcome.UNREACHABLE
+
+
+def test_gone_moved_and_restarted_end_old_connections_at_once():
+    table = [
+        (lambda rig: rig.link.leave("gone"), True),
+        (lambda rig: rig.link.moved("127.0.0.1", 7001), True),
+        (lambda rig: rig.link.moved("127.0.0.1", 7000), False),
+        (lambda rig: rig.link.restarted(rig.clock.seconds() * 1e3 + 5.0), True),
+        (lambda rig: rig.link.restarted(5.0), False),
+        (lambda rig: rig.link.restarted(0.0), False),
+        (lambda rig: rig.link.close(), True),
+    ]
+    for act, ends in table:
+        rig = Rig()
+        _, pipe = rig.up()
+        rig.send(1)
+        act(rig)
+        assert (rig.ended() == [((1, 0), Outcome.RESET)]) is ends and pipe.aborted is ends
+    rig = Rig()
+    rig.up()
+    rig.link.leave("gone")
+    rig.step(2000)
+    assert not rig.net.dialled and rig.room.used == 0  # nobody is dialled who has gone
+    rig.link.listed_again()
+    rig.step(300)
+    assert rig.net.dialled
+
+
+def test_one_that_accepts_and_resets_is_not_dialled_without_end():
+    rig = Rig()
+    dials = 0
+    for _ in range(200):
+        while rig.net.dialled:
+            dials += 1
+            wire, _ = rig.up()
+            wire.connectionLost(lost())
+        rig.step(20)
+    assert 3 < dials < 25, dials
+
+
+def test_idle_connections_go_but_one_stays_ready():
+    rig = Rig()
+    up = [rig.up()]
+    for serial in range(5):
+        rig.send(serial)
+        while rig.net.dialled:
+            up.append(rig.up())
+    for serial in range(5):
+        for wire, _ in up:
+            wire.dataReceived(answer(100, call(serial)) if call(serial) in wire.open else b"")
+    assert rig.room.used == 5
+    rig.step(links.SPARE_IDLE_MS + 600)
+    while rig.net.dialled:
+        up.append(rig.up())
+    rig.step(300)
+    assert rig.room.used == 1 and sum(not pipe.closed for _, pipe in up) == 1
+
+
+def test_what_is_not_allowed_is_not_said():
+    rig = Rig(withdraws=False)
+    _, pipe = rig.up()
+    rig.send(1)
+    rig.link.withdraw((1, 0))
+    assert [c[0] for c in commands(pipe.take())] == [10]
+
+
+def test_call_is_the_id():
+    rig = Rig()
+    _, pipe = rig.up()
+    rig.send(1, id=bytes.fromhex(CALL))
+    assert commands(pipe.take()) == [
+        (10, bytes.fromhex(CALL), {"class": "safe", "key": FUNCTION, "wait": "900"}, b"in")]
--- /dev/null
+++ b/tests/test_node_service.py
@@ -0,0 +1,224 @@
+"""A whole node in memory: list, signals, and tables that are back at their start size after a long day."""
+
+import json
+
+from doubles import Log, Net, Pipe, lost
+from platform_side import CALL, answer, commands, configuration, event, record, request
+from twisted.internet import task
+
+from petrelway.node.service import OPEN_MS, NodeService
+from petrelway.platform.told import read_told
+
+
+class Port:
+    def __init__(self):
+        self.open = True
+
+    def stopListening(self):
+        self.open = False
+
+
+class Reactor(task.Clock):
+    def listenTCP(self, port, factory, backlog, interface):
+        self.port = Port()
+        return self.port
+
+
+class Rig:
+    def __init__(self, executors=((1, 7001),), **more):
+        self.reactor, self.net, self.log = Reactor(), Net(), Log()
+        self.reactor.advance(1_000_000.0)
+        self.file = configuration(executors=executors, **more)
+        self.node = NodeService(self.reactor, read_told(self.file), lambda: self.file, self.log,
+                                connect=self.net.connect)
+        self.node.startService()
+        self.pipes = {}  # wire -> pipe, by port
+        self.links, self.bus = [], None
+        self.up()
+
+    def up(self):
+        self.reactor.advance(0)
+        while self.net.dialled:
+            port = self.net.dialled[0][0]
+            if self.net.dialled[0][2].called:
+                self.net.dialled.popleft()
+                continue
+            wire, pipe = self.net.accept()
+            if 7000 < port < 7050:
+                self.links.append((port, wire, pipe))
+            else:
+                self.bus = wire, pipe
+            self.reactor.advance(0)
+
+    def client(self):
+        caller, pipe = self.node.door.buildProtocol(None), Pipe()
+        caller.makeConnection(pipe)
+        return caller, pipe
+
+    def step(self, ms, serve=False):
+        for _ in range(int(ms / 10)):
+            self.reactor.advance(0.01)
+            self.up()
+            if serve:
+                self.serve()
+
+    def sent(self):
+        found = [(wire, c) for _, wire, pipe in self.links if not pipe.closed for c in commands(pipe.take())]
+        self.links = [x for x in self.links if not x[2].closed]
+        return found
+
+    def serve(self):
+        """Executors answer all at once: orders stand, triggers are fulfilled."""
+        for wire, (code, id, _, body) in self.sent():
+            if code in (10, 14):
+                wire.dataReceived(answer(100, id, b"how=resident" if code == 10 else b"count=1", body))
+
+
+def said(pipe):
+    return [json.loads(line) for line in pipe.take().splitlines()]
+
+
+def check(client):
+    client[0].dataReceived(b'{"jsonrpc":"2.0","id":1,"method":"check"}\n')
+    return said(client[1])[-1]["result"]["serving"]
+
+
+def test_a_request_of_each_tariff_is_served():
+    rig = Rig()
+    client, pipe = rig.client()
+    for number, method in enumerate(("safe", "keyed", "once"), 1):
+        client.dataReceived(request(number, method, call=f"{number:016x}", body=b"%d" % number))
+        rig.step(100, serve=True)
+        ((reply),) = said(pipe)
+        assert reply["id"] == number and reply["result"]["bytes"]
+
+
+def test_an_executor_at_the_address_of_one_that_has_gone():
+    rig = Rig()
+    client, _ = rig.client()
+    client.dataReceived(request())
+    rig.step(20)
+    ((wire, command),) = rig.sent()
+    old = next(link for link in rig.node.host.links.values() if link.stable == "s-00000001")
+    assert old.where
+    rig.bus[0].dataReceived(event(2, 2, record(2, 7001)))
+    assert not old.wires and old.left  # what was out there ended: it may have run
+    rig.step(300)
+    fresh = next(link for link in rig.node.host.links.values() if link.stable == "s-00000002")
+    assert fresh.wires
+
+
+def test_a_new_configuration_moves_the_bus_and_nothing_else():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request())
+    rig.step(20)
+    old = rig.bus
+    wires = [link.wires[:] for link in rig.node.host.links.values()]
+    rig.file = b"{"
+    rig.node.reload()
+    assert not old[1].closed and rig.log.events()[-1].startswith("configuration can't be used")
+    rig.file = configuration(bus="127.0.0.1:7071")
+    rig.node.reload()
+    rig.node.reload()
+    rig.up()
+    assert old[1].aborted and rig.bus[1].take() == b"\x00" * 7 + b"\x01"
+    assert [link.wires for link in rig.node.host.links.values()] == wires and not pipe.closed
+    rig.step(100, serve=True)
+    assert said(pipe)[0]["result"]
+
+
+def test_sigterm_serves_on_for_a_moment_then_answers_what_is_owed():
+    rig = Rig()
+    usual, idle, late = (rig.client() for _ in range(3))
+    usual[0].dataReceived(request(1, call=f"{1:016x}"))
+    rig.step(20)
+    left = []
+    rig.node.stopService().addCallback(left.append)
+    assert not check(idle) and rig.reactor.port.open
+    rig.step(OPEN_MS - 100)
+    fresh = rig.client()  # clients still come
+    fresh[0].dataReceived(request(1, call=f"{2:016x}"))
+    rig.step(50)
+    assert len(rig.sent()) >= 2
+    rig.step(100)
+    assert not rig.reactor.port.open and idle[1].closed and not usual[1].closed and not left
+    usual[0].dataReceived(request(2, call=f"{3:016x}"))  # too late: refused at once
+    assert said(usual[1])[0]["error"]["code"] == -32014
+    for wires in (link.wires for link in rig.node.host.links.values()):
+        for wire in list(wires):
+            for id in list(wire.open):
+                wire.dataReceived(answer(100, id))
+    assert said(usual[1])[0]["result"] and said(fresh[1])[0]["result"]
+    rig.step(100)
+    assert left and usual[1].closed and fresh[1].closed
+
+
+def test_sigterm_ends_with_what_is_never_answered():
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request(1))
+    rig.step(20)
+    left = []
+    rig.node.stopService().addCallback(left.append)
+    rig.step(4000 + OPEN_MS)
+    assert left and len(said(pipe)) == 1  # within its own time
+
+
+def sizes(node):
+    host, fe = node.host, node.host.front_end
+    tables = {
+        "door": (node.door.callers, node.door.calls),
+        "host": (host.taken, host.links, host.known, host.orders, host.triggers.index, host.executors.index,
+                 host.functions.index),
+        "module": (fe.triggers, fe.executors, fe.functions, fe.ready, fe.attention, fe.wanted),
+        "links": [link.where for link in host.links.values()],
+    }
+    return {name: [len(t) for t in some] for name, some in tables.items()}
+
+
+def test_every_table_is_back_at_its_start_size():
+    """New clients, functions and executors all day long, as the long day has them."""
+    rig = Rig()
+    rig.step(300)
+    before, number = sizes(rig.node), 1
+    for turn in range(600):
+        client, pipe = rig.client()
+        for i in range(3):
+            n = turn * 3 + i
+            client.dataReceived(request(i + 1, call=f"{n:016x}", row=f"{n // 2:016x}"))
+        if turn % 3 == 0:
+            client.connectionLost(lost())  # gone before its answers
+        if turn % 10 == 0:  # a new executor takes the address of one that goes
+            number += 1
+            rig.bus[0].dataReceived(event(number, 2, record(1000 + turn, 7002 + turn % 20)))
+            number += 1
+            if turn >= 20:
+                old = turn - 20
+                rig.bus[0].dataReceived(event(number, 2, record(1000 + old, 7002 + old % 20, 2)))
+            else:
+                number -= 1
+        rig.step(20, serve=True)
+        if turn % 3:
+            client.connectionLost(lost())
+    assert len(rig.node.host.known) > 100
+    for turn in (580, 590):
+        number += 1
+        rig.bus[0].dataReceived(event(number, 2, record(1000 + turn, 7002 + turn % 20, 2)))
+    for _ in range(80):
+        rig.step(1000, serve=True)
+        rig.bus[0].dataReceived(event(number, 0))
+    assert sizes(rig.node) == before
+    assert rig.node.room.used <= 2
+    open_calls = [c for c in rig.reactor.getDelayedCalls() if c.active()]
+    assert len(open_calls) < 20
+
+
+def test_the_time_that_lay_unread_counts():
+    rig = Rig()
+    rig.node.lag_ms = 200.0
+    client, _ = rig.client()
+    client.dataReceived(request(1, call=CALL, ttl=1000))
+    taken = next(iter(rig.node.host.taken.values()))
+    left_ms = taken.outer_ms - rig.reactor.seconds() * 1e3
+    assert 700.0 < left_ms < 800.0
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,258 @@
+"""The platform's codecs: tables of bytes, each input split at every place."""
+
+import json
+
+import pytest
+from platform_side import (
+    CALL, FUNCTION, ONCE, answer, commands, configuration, event, known, record, request)
+
+from petrelway.interface import Effect, Outcome, Warmth
+from petrelway.platform import bus, frames, lines
+from petrelway.platform.faults import PlatformFault
+from petrelway.platform.passed import Passed
+from petrelway.platform.told import read_told
+
+
+class Said:
+    """Ears for all codecs: what was said, in order."""
+
+    def __init__(self):
+        self.said = []
+
+    def __getattr__(self, name):
+        return lambda *what: self.said.append((name, *what))
+
+
+ASKS = lines.Asks([("safe", 4000.0, False), ("keyed", 4000.0, True)], ["acme", "bolt"])
+
+
+def read(line):
+    ears = Said()
+    ASKS.read(line, ears)
+    return ears.said
+
+
+def test_a_request_is_read_whole():
+    ((name, number, passed, tariff, customer, remaining, work, memory, lanes, load),) = read(
+        request(7, "keyed", org="bolt", extras="memory_mb:512;lanes:2;load_ms:900;other:1"))
+    assert (name, number, tariff, customer, remaining) == ("asked", 7, 1, 1, 1500.0)
+    assert (work, memory, lanes, load) == (8.2, 512.0, 2, 900.0)
+    assert (passed.call.hex(), passed.tariff, passed.function) == (CALL, "keyed", FUNCTION)
+    assert (passed.once, passed.body, len(passed)) == (ONCE, b"hello", 5)
+    ((_, _, passed, _, _, _, work, memory, lanes, _),) = read(
+        request(1, bytes=None, work=None, extras=None))  # a body may be empty, hints may be absent
+    assert (passed.body, work, memory, lanes) == (b"", 0.0, 0.0, 0)
+    every = bytes(range(256)) * 64  # 16 KiB of any bytes
+    assert read(request(body=every))[0][2].body == every
+
+
+def test_other_messages():
+    table = [
+        (b'{"jsonrpc":"2.0","id":3,"method":"check"}', [("checked", 3)]),
+        (b'{"jsonrpc":"2.0","id":3,"method":"check","params":{"deep":true}}', [("checked", 3)]),
+        (b'{"jsonrpc":"2.0","method":"interrupt","params":{"call":"%s"}}' % CALL.encode(),
+         [("taken_back", None, bytes.fromhex(CALL))]),
+        (b'{"jsonrpc":"2.0","method":"interrupt","params":{"id":9}}', [("taken_back", 9, None)]),
+        (b'{"jsonrpc":"2.0","id":9,"method":"interrupt"}', [("taken_back", 9, None)]),
+    ]
+    for line, said in table:
+        assert read(line) == said, line
+
+
+def test_what_cannot_be_taken():
+    """Each raises, says whose answer the error is, and whether the connection can go on."""
+    whole = json.loads(request())
+    table = [  # line, number, code, last
+        (b"\xff\xfe", None, lines.NOT_JSON, True),
+        (b"", None, lines.NOT_JSON, True),
+        (b"[" * 5000, None, lines.NOT_JSON, True),
+        (b'{"id":NaN}', None, lines.NOT_JSON, True),
+        (b"[1]", None, lines.NOT_A_REQUEST, True),
+        (b"7", None, lines.NOT_A_REQUEST, True),
+        (json.dumps({**whole, "jsonrpc": "1.0"}).encode(), None, lines.NOT_A_REQUEST, True),
+        (json.dumps({**whole, "params": [1]}).encode(), None, lines.NOT_A_REQUEST, True),
+        (json.dumps({**whole, "method": 4}).encode(), None, lines.NOT_A_REQUEST, True),
+        (request(None), None, lines.NOT_A_REQUEST, True),
+        (b'{"jsonrpc":"2.0","method":"interrupt"}', None, lines.BAD_PARAMS, True),
+        (request(1, "nobody"), 1, lines.NO_METHOD, False),
+    ]
+    for number in (0, -1, 1.5, 2**53, 10**30, "1", True, [1]):
+        table.append((request(number), None, lines.NOT_A_REQUEST, True))
+    odd = {
+        "call": (None, "", "9b1f", CALL.upper(), CALL + "0", 7, "g" * 16, CALL + "\n"),
+        "row": (None, "x", 5, FUNCTION + "0"),
+        "org": (None, "", "nobody", 3, ["acme"]),
+        "ttl": (None, 0, -1, 1e300, 10**400, "5", True, [], 4100),
+        "work": (-1, "8", 1e99, False),
+        "extras": (7, "lanes", "lanes:x", "lanes:nan", "lanes:-1", "lanes:inf", "lanes:1.5", "lanes:1:2",
+                   "lanes:99999999", {"lanes": 1}),
+        "bytes": ("#", "abc", "a b=", 5, "YQ==YQ==", "A" * 21900),
+        "dedupe": ("", "xyz", 4, ONCE + "0"),
+    }
+    for name, values in odd.items():
+        for value in values:
+            table.append((request(4, **{name: value}), 4, lines.BAD_PARAMS, False))
+    table.append((request(4, "keyed", dedupe=None), 4, lines.BAD_PARAMS, False))
+    for line, number, code, last in table:
+        with pytest.raises(lines.LineFault) as caught:
+            read(line)
+        fault = caught.value
+        if fault.code == lines.NOT_JSON and code == lines.BAD_PARAMS:
+            continue  # numbers that no JSON reader takes
+        assert (fault.number, fault.code, fault.last) == (number, code, last), line[:80]
+        told = json.loads(lines.faulted(fault))
+        assert told["id"] == number and told["error"]["code"] == code
+
+
+def test_lines_split_at_every_byte():
+    whole = request(1) + b'{"jsonrpc":"2.0","id":2,"method":"check"}\r\n' + request(3)
+    expected = [line.rstrip(b"\r") for line in whole.split(b"\n")[:-1]]
+    for at in range(len(whole)):
+        reader, found = lines.Lines(), []
+        for part in (whole[:at], whole[at:]):
+            reader.feed(part)
+            while (line := reader.next()) is not None:
+                found.append(line)
+        assert found == expected and not reader.half()
+
+
+def test_a_line_past_the_bound_is_not_collected():
+    for data in (b"x" * 11, b"x" * 11 + b"\n", b"ok\n" + b"x" * 11):
+        reader = lines.Lines(10)
+        reader.feed(data)
+        with pytest.raises(lines.LineFault) as caught:
+            while reader.next() is not None:
+                pass
+        assert caught.value.last
+    assert lines.LINE_BOUND < 32_768  # a few of them are all that a connection may hold
+
+
+def test_answers_are_json():
+    assert json.loads(lines.fulfilled(7, b"\x00\xff")) == {
+        "jsonrpc": "2.0", "id": 7, "result": {"bytes": "AP8="}}
+    assert json.loads(lines.nacked(7, 0.0))["error"] == {"code": -32014, "message": "nacked"}
+    assert json.loads(lines.nacked(7, 199.2))["error"]["data"] == {"pushback": 200}
+    assert json.loads(lines.broken_off(7))["error"]["code"] not in (-32014,)
+    assert json.loads(lines.serving(3, True))["result"] == {"serving": True}
+
+
+ID = bytes.fromhex(CALL)
+SAID = [
+    ("answered", ID, Outcome.FULFILLED, Warmth.FOUND, 3, 0, b"body"),
+    ("answered", ID, Outcome.MISS, Warmth.UNTOLD, 0, 0, b""),
+    ("answered", ID, Outcome.FULL, Warmth.UNTOLD, 0, 1, b""),
+    ("answered", ID, Outcome.ERROR, Warmth.LOAD_FAILED, 0, 0, b""),
+    ("answered", ID, Outcome.UNSENT, Warmth.UNTOLD, 0, 0, b""),
+    ("probed", ID, True),
+    ("probed", ID, False),
+]
+BYTES = (
+    answer(100, ID, b"how=resident,crowd=3", b"body") + answer(102, ID) + answer(103, ID, b"count=1")
+    + answer(104, ID, b"how=boot_error") + answer(105, ID) + answer(106, ID) + answer(107, ID, b"stats=x0:1")
+)
+
+
+def test_frames_split_at_every_byte():
+    for at in range(len(BYTES)):
+        ears = Said()
+        reader = frames.Frames(ears)
+        reader.feed(BYTES[:at])
+        reader.feed(BYTES[at:])
+        assert ears.said == SAID and not reader.half(), at
+    ears = Said()
+    reader = frames.Frames(ears)
+    for i in range(len(BYTES)):
+        reader.feed(BYTES[i : i + 1])
+    assert ears.said == SAID
+
+
+def test_frames_that_cannot_be_read():
+    good = answer(100, ID, b"how=resident", b"body")
+    table = [
+        b"\x01" + good[1:],  # a front end's mark
+        b"\x02\x63" + good[2:],  # no such code
+        good[:2] + b"\xff\xff" + good[4:],  # fields without end
+        good[:4] + (3 << 30).to_bytes(4, "big") + good[8:],  # 3 GB are told
+        good[:-1] + bytes([good[-1] ^ 1]),  # the check
+        good[:-6] + b"X" + good[-5:],  # a body that the check does not fit
+        answer(100, ID, b"how"), answer(100, ID, b"crowd=x"), answer(100, ID, b"count=\xff"),
+        b"HTTP/1.1 200 OK\r\n\r\n",
+    ]
+    for data in table:
+        reader = frames.Frames(Said())
+        with pytest.raises(PlatformFault):
+            reader.feed(data)
+            reader.feed(b"\x00" * 64)
+        assert len(reader.held) < 1024  # nothing was collected for it
+
+
+def test_commands_are_what_the_page_says():
+    passed = Passed(ID, "keyed", FUNCTION, ONCE, b"\x00body")
+    table = [
+        (frames.send(passed, 1499.9),
+         (10, ID, {"class": "keyed", "key": FUNCTION, "wait": "1499", "once": ONCE}, b"\x00body")),
+        (frames.send(Passed(ID, "safe", FUNCTION, "", b""), 0.2),
+         (10, ID, {"class": "safe", "key": FUNCTION, "wait": "1"}, b"")),
+        (frames.withdraw(ID), (11, ID, {}, b"")),
+        (frames.probe(ID), (12, ID, {}, b"")),
+        (frames.order(ID, FUNCTION, 2), (14, ID, {"key": FUNCTION, "count": "2"}, b"")),
+        (frames.unload(FUNCTION), (16, bytes.fromhex(FUNCTION), {}, b"")),
+    ]
+    for data, expected in table:
+        assert commands(data) == [expected]
+
+
+def test_bus_split_at_every_byte():
+    whole = (event(1, 1, record(0xC41F7A, 8443), record(2, 8444, state=1, zone=1, weight=1500, started=12))
+             + event(1, 0) + event(2, 2, record(2, 8444, state=2)))
+    first = bus.Place("s-00c41f7a", "127.0.0.1", 8443, "east", "std", 3, "ready", 1.0, 0.0)
+    second = bus.Place("s-00000002", "127.0.0.1", 8444, "west", "std", 3, "draining", 1.5, 12.0)
+    expected = [("listed", 1, True, [first, second]), ("nothing_new", 1),
+                ("listed", 2, False, [second._replace(stage="gone", hall="east", weight=1.0,
+                                                      started_ms=0.0)])]
+    for at in range(len(whole)):
+        ears = Said()
+        reader = bus.Bus(["east", "west"], ["std"], ears)
+        reader.feed(whole[:at])
+        reader.feed(whole[at:])
+        assert ears.said == expected
+
+
+def test_events_that_cannot_be_read():
+    for data in (event(1, 3), event(1, 1, b"\x00" * 26), b"\xff" * 13, b"\x00" * 13,
+                 event(1, 1, record(1, 1, state=3)), event(1, 1, record(1, 1, zone=9))):
+        reader = bus.Bus(["east"], ["std"], Said())
+        with pytest.raises(PlatformFault):
+            reader.feed(data)
+    assert bus.resume(41) == b"\x00" * 7 + b"\x29"
+
+
+def test_known_is_the_same_calls():
+    ears = Said()
+    reader = bus.Bus(["east"], ["std"], ears)
+    reader.known(known((0xC41F7A, 8443), offset=41))
+    place = bus.Place("s-00c41f7a", "127.0.0.1", 8443, "east", "std", 2, "ready", 4.0, 0.0)
+    assert ears.said == [("listed", 41, True, [place]), ("nothing_new", 41)]
+    good = known((1, 1))
+    for spoil in (None, [], {"offset": 1}, {**good, "batch": [{}]}, {**good, "offset": None}):
+        with pytest.raises(PlatformFault):
+            reader.known(spoil)
+
+
+def test_configuration():
+    told = read_told(configuration())
+    assert (told.name, told.address, told.port, told.bus) == ("n0", "127.0.0.1", 8443, ("127.0.0.1", 7070))
+    assert (told.seed, told.sockets) == (0x8C1F30D27A5BE964, 256)
+    assert [t.effect for t in told.terms.tariffs] == [Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT]
+    assert (told.terms.streams, told.terms.connect_ms, told.terms.idle_ms) == (4, 250.0, 30_000.0)
+    table = [
+        (b"{", "not JSON"), (b"[]", "one object"), (configuration(listen="nowhere"), "listen"),
+        (configuration(bus=7), "bus"), (configuration(listen="a:99999"), "listen"),
+        (configuration(seed="xyz"), "seed"), (configuration(sockets=3), "limits.sockets"),
+        (configuration(limits=4), "limits"), (configuration(settings=None), "settings"),
+        (configuration(settings={"classes": [{"effect": "odd"}]}), "settings"),
+        (configuration(settings={}), "settings.classes"),
+    ]
+    for data, where in table:
+        with pytest.raises(PlatformFault, match=where):
+            read_told(data)
