Loads go as fast as the store gives: own orders under way are limited by how long loads take

Excluded: sockets, bad news of the list, own lag. At fault: decide() gave every wanted order at once, so after a flush all front ends pushed the one store far over what it gives, and it stopped for all.

Change: own orders under way are limited; the limit grows by good loads, is cut by slow or failed ones (usual time as told or first seen); what nobody has and is asked for most comes first; long overdue orders do not count, so that one executor that hangs does not stop all loads. A trigger whose function is wanted waits rather than miss again.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -53,6 +53,10 @@
 OWN_VIEW = 8.0  # weight of own triggers in flight for each executor against what the shared rank presumes
 SPARSE = 0.25  # own triggers in flight for each executor: with fewer, our own counts tell nothing
 ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
+LOADS_START = 1.5  # own orders under way in all, before any load was seen ...
+LOADS_SLOW = 1.6  # ... cut when a load took more than this times its usual time, or failed ...
+LOADS_CUT = 0.7  # ... by this, at most once in the time of a load ...
+LOADS_GROW = 0.25  # ... and grows by this in the time of a good one
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
 LIMIT_LEAST = 2.0  # never less, or it would not be seen to recover
 CROWDED = 0.5  # answers slower than this share of the quoted time: the executor has too much in flight
@@ -181,6 +185,7 @@
         self.index = index
         self.salt = int.from_bytes(blake2b(stable.encode(), digest_size=8).digest(), "big")
         self.lanes, self.load_ms = max(1, lanes), load_ms or UNHEARD_LOAD_MS
+        self.usual_load_ms = load_ms  # with nothing in its way; 0: neither told nor seen
         self.mean_ms, self.used_ms, self.asked = 0.0, now, 0.0
         self.held: dict[int, None] = {}  # triggers that wait for a copy
         self.skilled: dict[int, Executor] = {}  # whose resumes have it
@@ -323,7 +328,8 @@
         self.due: list[tuple[float, int]] = []  # when to look at a trigger; -1: tidy up
         self.wake_ms = math.inf
         self.stall_ms = -math.inf  # when the last stall of this front end itself was noticed
-        self.wanted: deque[tuple[Executor, Function]] = deque()
+        self.wanted: dict[int, Executor] = {}  # function -> where it was missed last
+        self.loads, self.loads_cut_ms = LOADS_START, -math.inf
         self.seconds = SECOND_SAVED
         self.late = 0.0  # share of late answers
         self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers, in all but a rich view
@@ -415,7 +421,7 @@
             self._unskilled(e, f)
             t.missed.add(e.listing.executor)
             if self.keeping.answers_miss and self.keeping.orders and warmth is not Warmth.LOAD_FAILED:
-                self.wanted.append((e, f))
+                self.wanted[f.index] = e
         elif outcome is Outcome.FULL:
             # danger: some refuse one customer only, and slowly; that says nothing of the rest
             if took_ms > REFUSED_MS and not self._untimely(now):
@@ -488,11 +494,27 @@
         if e is None or f is None:
             return
         e.loaded(function)
+        self._store_seen(f, outcome, took_ms, now)
         if outcome is Outcome.FULFILLED and copies > 0:
             self._skilled(e, f, now)
             self._load_seen(f, took_ms)
         self.attention.extend(f.held)
 
+    def _store_seen(self, f: Function, outcome: Outcome, took_ms: float, now: float) -> None:
+        """Danger: copies lost in many places are loaded anew at once by all front ends, and the one store
+        that they share stops when pushed far over what it can give: then nothing loads for seconds."""
+        usual = f.usual_load_ms = f.usual_load_ms or took_ms
+        if outcome is Outcome.ERROR or outcome is Outcome.FULFILLED and took_ms > LOADS_SLOW * usual:
+            if now > self.loads_cut_ms + usual:
+                self.loads, self.loads_cut_ms = max(1.0, LOADS_CUT * self.loads), now
+        elif outcome is Outcome.FULFILLED and self._under_way(now) + 1 >= self.loads:
+            self.loads += LOADS_GROW / self.loads
+
+    def _under_way(self, now: float) -> int:
+        """Own orders, but for those that are long overdue: one that hangs must not stop all loads."""
+        return sum(now < at + OVERDUE_FACTOR * self.functions[i].load_ms
+                   for e in self.ready for i, at in e.orders.items()) if self.fleet.orders else 0
+
     def client_gone(self, now: float, trigger: int) -> None:
         if t := self.triggers.get(trigger):
             t.answered = True
@@ -511,8 +533,10 @@
             else:
                 self._tidy(now)
                 heapq.heappush(self.due, (now + TIDY_MS, -1))
-        while self.wanted:
-            decision = self._order(*self.wanted.popleft(), now)
+        while self.wanted and self._under_way(now) < self.loads:
+            # what nobody has comes first, then what is asked for most
+            wanted = max(self.wanted, key=lambda i: (not self.functions[i].skilled, self.functions[i].asked))
+            decision = self._order(self.wanted.pop(wanted), self.functions[wanted], now)
             if decision is not None:
                 return decision
         while self.attention:
@@ -580,7 +604,7 @@
         if e is None and (spent or self._hopeless(t, now) and not self._loading(f)):
             return self._give_up(t)  # no place in time, or nothing may be sent again: say so now
         if e is not None and self.keeping.answers_miss and f.index not in e.resume:
-            if f.index in e.orders or t.missed and self._loading(f):
+            if f.index in e.orders or t.missed and (self._loading(f) or f.index in self.wanted):
                 e = None  # wait for the order rather than miss again
         if e is None:
             f.held[t.index] = None
@@ -723,6 +747,7 @@
                 e.cold_sends.popleft()
         busy = {t.function.index for t in self.triggers.values()}
         busy.update(i for e in self.executors.values() for i in (*e.resume, *e.orders))
+        self.wanted = {i: e for i, e in self.wanted.items() if i in busy}
         gone = [i for i, e in self.executors.items() if e.listing.stage is Stage.GONE and not e.out
                 and now > e.told_ms + self.keeping.order_timeout_ms]
         old = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -386,3 +386,67 @@
     mean_ms = e.pace * host.fe.mean_size
     assert 100.0 < mean_ms < 300.0, mean_ms
     assert e.limit >= 12.0, e.limit
+
+
+def lost(host, functions):
+    """Each function asked for once and missed at each executor, as after its copies were dropped."""
+    found = []
+    for f in functions:
+        t = host.take(f)
+        sent = [d for d in host.pull() if d.verb is Verb.SEND and d.trigger == t]
+        for d in sent:
+            host.end(t, Outcome.MISS, executor=d.executor, took=2.0, warmth=Warmth.UNTOLD)
+    found += [d for d in host.pull() if d.verb is Verb.ORDER]
+    return found
+
+
+def orders_of(host):
+    return [(e.listing.executor, f) for e in host.fe.ready for f in e.orders]
+
+
+def test_loads_go_as_fast_as_the_store_gives():
+    """Danger: all copies lost at once are ordered at once by all front ends, and the store stops."""
+    host = Host(8, misses=True)
+    host.rich()
+    lost(host, range(20))
+    assert len(orders_of(host)) == 2  # what is under way while nothing is known
+    for turn in range(60):  # good loads: more at a time
+        e, f = orders_of(host)[0]
+        host.now += 100.0
+        host.fe.order_answered(host.now, e, f, Outcome.FULFILLED, 1, 500.0)
+        lost(host, range(20 + 3 * turn, 23 + 3 * turn))
+    most = host.fe.loads
+    assert most > 3.0 and host.fe._under_way(host.now) <= most + 1
+    for outcome, took in ((Outcome.FULFILLED, 2000.0), (Outcome.ERROR, 10.0)):
+        before = host.fe.loads
+        host.now += 5000.0
+        e, f = orders_of(host)[0]
+        host.fe.order_answered(host.now, e, f, outcome, 1, took)
+        assert host.fe.loads < before
+    host.fe.order_answered(host.now, *orders_of(host)[0], Outcome.ERROR, 0, 10.0)
+    assert host.fe.loads < before and host.fe.loads >= 1.0
+
+
+def test_the_most_asked_for_is_loaded_first():
+    host = Host(8, misses=True)
+    host.rich()
+    lost(host, range(4))
+    for _ in range(5):
+        host.take(7)
+    for d in host.pull():
+        if d.verb is Verb.SEND:
+            host.end(d.trigger, Outcome.MISS, executor=d.executor, took=2.0, warmth=Warmth.UNTOLD)
+    assert host.pull() == []
+    e, f = orders_of(host)[0]
+    host.fe.order_answered(host.now, e, f, Outcome.FULFILLED, 1, 500.0)
+    assert [d.function for d in host.pull() if d.verb is Verb.ORDER] == [7]
+
+
+def test_a_hung_load_does_not_stop_the_others():
+    host = Host(8, misses=True)
+    host.rich()
+    lost(host, range(4))
+    before = orders_of(host)
+    host.now += 3000.0  # four times a load and more, and nothing heard
+    lost(host, [8])
+    assert len(orders_of(host)) > len(before)
