No trigger of a tariff goes to an executor past a share of errors of that tariff

Examined: all ends of transmissions printed by executor and tariff: three of six executors answered 93% of one stamped tariff's triggers with an error within 5 ms, and the other tariff's well. At fault: _fit and choose. An error makes a pace 1.7 times slower, but answers to the other tariff heal it at once (paces 0.5 to 10 beside 100% errors); with a free lane by our count and nothing in flight such an executor is never passed over by the page.

Change: the share of errors by executor and tariff, fading in 5 s; past 0.3 it is not fit for that tariff. Errors of functions that nobody ever served do not count: bad clients' triggers fail anywhere.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -36,6 +36,8 @@
 SECOND_SAVED = 15.0  # most of them saved up
 FAILED = 1.7  # a failure makes a pace this many times slower
 AILING_PACE = 8.0  # times its kind's usual pace: as slow as any evidence makes an executor
+ERRORS, ERRORS_GAIN = 0.3, 0.15  # past this share of errors it gets no trigger of that tariff ...
+ERRORS_SPAN_MS = 5000.0  # ... until the share has faded
 REFUSED_MS = 100.0  # a full that took longer than this was no full queue, but a limit for this customer ...
 REFUSED_REST_MS = 8000.0  # ... which is respected for this time
 LOOK_AGAIN_MS = 40.0  # a held trigger is looked at again after this time
@@ -125,6 +127,7 @@
         self.cut_ms = -math.inf
         self.weigh(0, LIMIT_START)
         self.refused: dict[int, float] = {}  # customer -> until when
+        self.errors: dict[Tariff, tuple[float, float]] = {}  # share of errors, when
         self.cold_sends: deque[float] = deque()
         for index in list(self.orders):
             self.loaded(index)
@@ -406,6 +409,11 @@
     def _learn(self, now: float, t: Trigger, sent: Transmission, outcome: Outcome, took_ms: float,
                warmth: Warmth) -> None:
         e, f = sent.executor, t.function
+        # danger: one that fails fast always has a free lane, and may fail one tariff only: the answers to the
+        # others heal its pace. What nobody ever served fails anywhere, and says nothing of it
+        if outcome in (Outcome.FULFILLED, Outcome.ERROR) and f.mean_ms and warmth is not Warmth.LOAD_FAILED:
+            share = self._errors(e, t.tariff, now)
+            e.errors[t.tariff] = share + ERRORS_GAIN * ((outcome is Outcome.ERROR) - share), now
         if outcome is Outcome.FULFILLED:
             self._skilled(e, f, now)
             e.refused.pop(t.customer, None)
@@ -626,10 +634,17 @@
         index, known = e.listing.executor, t.function.index in e.resume
         if e.busy >= e.limit or now < e.refused.get(t.customer, now) or index in t.tried:
             return False
+        if self._errors(e, t.tariff, now) > ERRORS:
+            return False
         if index in t.missed and not known or any(x.executor is e for x in t.out.values()):
             return False
         return self.gate.send(t, e, len(self.ready), now)
 
+    def _errors(self, e: Executor, tariff: Tariff, now: float) -> float:
+        """The share of errors in its answers to this tariff; it fades, so that it is tried again."""
+        share, at = e.errors.get(tariff, (0.0, now))
+        return share and share * math.exp((at - now) / ERRORS_SPAN_MS)
+
     def view(self, now: float) -> float:
         """Own triggers in flight for each executor, if all were as quick as the quicker half. Danger: in a
         jam what is in flight grows, the view looks rich, and the limit that would end the jam is off."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,7 +5,7 @@
 from helpers import START, Host, verbs
 
 from petrelway.choice import LIMIT_LEAST, MANY, Transmission
-from petrelway.interface import Outcome, Stage, Verb, Warmth
+from petrelway.interface import Effect, Outcome, Scope, Stage, Tariff, Verb, Warmth
 
 
 def ask(host, function=0, customer=0):
@@ -450,3 +450,37 @@
     host.now += 3000.0  # four times a load and more, and nothing heard
     lost(host, [8])
     assert len(orders_of(host)) > len(before)
+
+
+def test_one_that_fails_a_tariff_fast_gets_no_more_of_it():
+    """Danger: it always has a free lane and no backlog, and answers to other tariffs heal its pace."""
+    def failing(function_is_known):
+        host = Host(2)
+        for e in (0, 1):
+            host.teach(e, times=3)
+        host.rich()
+        function = 0 if function_is_known else 5
+        for _ in range(3):
+            host.only(0)
+            t = host.take(function)
+            assert [d.executor for d in host.pull() if d.verb is Verb.SEND] == [0]
+            host.end(t, Outcome.ERROR, took=2.0, finished=True)
+            host.pull()
+        host.only(None)
+        return host
+
+    host = failing(True)
+    other = Tariff(Effect.HARMLESS, Scope.ALL, 0.0, 500.0, 2000.0, 1.0, 0.1)
+    e, tariff = host.fe.executors[0], host.fe.tariffs[0]
+    t = host.fe.triggers[host.take()]
+    assert host.fe.choose(t, host.now).listing.executor == 1
+    host.fe.executors[1].limit = 0.0  # nobody else has room: still not there
+    assert host.fe.choose(t, host.now) is None
+    t.tariff = other  # another tariff may
+    assert host.fe.choose(t, host.now) is e
+    host.now += 4000.0  # and in time it is tried again
+    t = host.fe.triggers[host.take()]
+    assert host.fe.choose(t, host.now) is e
+    # what nobody ever served fails anywhere: bad clients must not shut executors off
+    host = failing(False)
+    assert not host.fe.executors[0].errors.get(tariff, (0.0,))[0]
