An order that found its copy there is no measure of how long loads take

Examined: loads and nacks printed. From 8.5 s on every executor's copies are wanted anew (51 functions wanted, two own loads at a time, each 0.85 to 2.3 s). Load times are not told there, so the first load seen of a function is its usual time, and an order that found its copy there, answered in 1 to 5 ms, made every later load of that function look slow (_store_seen).

Change: an order answered within 30 ms counts neither as good nor as usual.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -57,6 +57,7 @@
 ORDERS_PER_EXECUTOR = 3  # own orders under way at one executor
 LOADS_START = 1.5  # own orders under way in all, before any load was seen ...
 LOADS_SLOW = 1.6  # ... cut when a load took more than this times its usual time, or failed ...
+STOOD_MS = 30.0  # an order answered sooner found the copy there
 LOADS_CUT = 0.7  # ... by this, at most once in the time of a load ...
 LOADS_GROW = 0.25  # ... and grows by this in the time of a good one
 LIMIT_START = 12.0  # own triggers at one executor before it was seen to slow down
@@ -511,6 +512,8 @@
     def _store_seen(self, f: Function, outcome: Outcome, took_ms: float, now: float) -> None:
         """Danger: copies lost in many places are loaded anew at once by all front ends, and the one store
         that they share stops when pushed far over what it can give: then nothing loads for seconds."""
+        if outcome is Outcome.FULFILLED and took_ms < STOOD_MS:
+            return  # danger: a copy stood; taken for the usual time, it makes each load look slow
         usual = f.usual_load_ms = f.usual_load_ms or took_ms
         if outcome is Outcome.ERROR or outcome is Outcome.FULFILLED and took_ms > LOADS_SLOW * usual:
             if now > self.loads_cut_ms + usual:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -417,6 +417,10 @@
         lost(host, range(20 + 3 * turn, 23 + 3 * turn))
     most = host.fe.loads
     assert most > 3.0 and host.fe._under_way(host.now) <= most + 1
+    e, f = orders_of(host)[0]
+    host.fe.functions[f].usual_load_ms = 0.0
+    host.fe.order_answered(host.now, e, f, Outcome.FULFILLED, 1, 3.0)  # a copy stood: no measure of a load
+    assert host.fe.loads == most and not host.fe.functions[f].usual_load_ms
     for outcome, took in ((Outcome.FULFILLED, 2000.0), (Outcome.ERROR, 10.0)):
         before = host.fe.loads
         host.now += 5000.0
