--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from typing import NoReturn
 
 import click
 
@@ -13,6 +14,12 @@
 from ..platform.told import read_told
 
 
+def _refuse(text: str) -> NoReturn:
+    """One line, as the platform's log keeps it."""
+    click.echo(f"petrelway node: {text}", err=True)
+    sys.exit(2)
+
+
 @click.command()
 @click.option("--config", "file", envvar="RELAY_CONFIG", type=click.Path(), required=True,
               help="The platform's configuration (RELAY_CONFIG).")
@@ -26,7 +33,7 @@
     try:
         told = read_told(read())
     except (PlatformFault, OSError) as fault:
-        raise click.UsageError(f"{file}: {fault}") from fault
+        _refuse(f"{file}: {fault}")
     # installed before anything slow: by default the signal ends the process
     hups: list[bool] = []
     signal.signal(signal.SIGHUP, lambda *_: hups.append(True))
@@ -43,12 +50,12 @@
     try:
         front.startService()
     except PlatformFault as fault:
-        raise click.UsageError(f"{file}: {fault}") from fault
+        _refuse(f"{file}: {fault}")
     except error.CannotListenError as problem:
-        raise click.UsageError(
+        _refuse(
             f"{file}: listen: found {told.address}:{told.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free address"
-        ) from problem
+        )
     settle()
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
     reactor.addSystemEventTrigger("after", "shutdown", lines.finish)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -197,7 +197,8 @@
         process = start(path)
         said, _ = process.communicate(timeout=WAIT_S)
         assert process.returncode == 2
-        assert [line for line in said.decode().splitlines() if where in line], said
+        (line,) = said.decode().splitlines()
+        assert where in line and str(path) in line
 
 
 def test_the_verb_loads_only_what_it_needs():
