The node's stand-ins in tests leave no thread behind

Seen in a fresh clone: test_sockets counts the process's threads, and the daemon threads of test_node_process's stand-ins were still there (4 for 1). They are closed and joined now, and the test itself asserts that none is left.

--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -22,13 +22,18 @@
     return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-class Executor:
-    """Answers every request with its body turned round, orders with one copy; keeps what it was told."""
+class Standin:
+    """Threads that accept and serve until `close`, which leaves none behind."""
 
     def __init__(self):
         self.sock, self.address = listen()
-        self.told = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.wires, self.threads = [], []
+        self._start(self._accept)
+
+    def _start(self, run, *args):
+        thread = threading.Thread(target=run, args=args)
+        self.threads.append(thread)
+        thread.start()
 
     def _accept(self):
         while True:
@@ -36,17 +41,39 @@
                 wire, _ = self.sock.accept()
             except OSError:
                 return
-            threading.Thread(target=self._serve, args=(wire,), daemon=True).start()
+            self.wires.append(wire)
+            self._start(self._run, wire)
 
-    def _serve(self, wire):
-        held = b""
-        while True:
+    def _run(self, wire):
+        try:
+            self.serve(wire)
+        except OSError:
+            pass
+
+    def close(self):
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.threads[0].join(WAIT_S)
+        for wire in self.wires:
             try:
-                data = wire.recv(65536)
+                wire.shutdown(socket.SHUT_RDWR)
             except OSError:
-                return
-            if not data:
-                return
+                pass  # the other side has gone
+        for thread in self.threads:
+            thread.join(WAIT_S)
+        for sock in (self.sock, *self.wires):
+            sock.close()
+
+
+class Executor(Standin):
+    """Answers every request with its body turned round, orders with one copy; keeps what it was told."""
+
+    def __init__(self):
+        self.told = []
+        super().__init__()
+
+    def serve(self, wire):
+        held = b""
+        while data := wire.recv(65536):
             held += data
             while len(held) >= 20:
                 size = 20 + int.from_bytes(held[2:4], "big") + int.from_bytes(held[4:8], "big")
@@ -55,38 +82,26 @@
                 (command,) = commands(held[:size])
                 held = held[size:]
                 self.told.append(command)
-                code, id, fields, body = command
+                code, id, _, body = command
                 if code == 10:
                     wire.sendall(answer(100, id, b"how=resident", body[::-1]))
                 elif code == 14:
                     wire.sendall(answer(100, id, b"count=1"))
 
 
-class Bus:
+class Bus(Standin):
     """Says only that nothing is new; keeps the numbers that followers resumed from."""
 
     def __init__(self):
-        self.sock, self.address = listen()
         self.resumed = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
-    def _accept(self):
-        while True:
-            try:
-                wire, _ = self.sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(wire,), daemon=True).start()
-
-    def _serve(self, wire):
+    def serve(self, wire):
         number = int.from_bytes(wire.recv(8, socket.MSG_WAITALL), "big")
         self.resumed.append(number)
-        try:
-            while True:
-                wire.sendall(event(number, 0))
-                time.sleep(0.5)
-        except OSError:
-            pass
+        while True:
+            wire.sendall(event(number, 0))
+            time.sleep(0.2)
 
 
 class Client:
@@ -186,6 +201,9 @@
         if process.poll() is None:
             process.kill()
             process.communicate()
+        for standin in (executor, first, second):
+            standin.close()
+    assert threading.active_count() == 1
 
 
 def test_a_bad_configuration_is_said_in_one_line(tmp_path):
