--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -191,36 +191,26 @@
     rig = Rig()
     rig.step(300)
     before, number = sizes(rig.node), 1
-    for turn in range(600):
+    for turn in range(1200):
         client, pipe = rig.client()
-        for i in range(3):
-            n = turn * 3 + i
-            client.dataReceived(request(i + 1, call=f"{n:016x}", row=f"{n // 2:016x}"))
+        for n in (2 * turn, 2 * turn + 1):
+            client.dataReceived(request(n + 1, call=f"{n:016x}", row=f"{n:016x}"))
         if turn % 3 == 0:
             client.connectionLost(lost())  # gone before its answers
-        if turn % 10 == 0:  # a new executor takes the address of one that goes
-            number += 1
-            rig.bus[0].dataReceived(event(number, 2, record(1000 + turn, 7002 + turn % 20)))
-            number += 1
-            if turn >= 20:
-                old = turn - 20
-                rig.bus[0].dataReceived(event(number, 2, record(1000 + old, 7002 + old % 20, 2)))
-            else:
-                number -= 1
+        number, port = number + 1, 7002 + turn % 20  # a new executor takes the address of one that goes
+        gone = [record(980 + turn, port, 2)] if turn >= 20 else []
+        rig.bus[0].dataReceived(event(number, 2, *gone, record(1000 + turn, port)))
         rig.step(20, serve=True)
         if turn % 3:
             client.connectionLost(lost())
-    assert len(rig.node.host.known) > 100
-    for turn in (580, 590):
-        number += 1
-        rig.bus[0].dataReceived(event(number, 2, record(1000 + turn, 7002 + turn % 20, 2)))
+    assert len(rig.node.host.known) > 1000 and len(rig.node.host.links) > 100
+    last = [record(1000 + turn, 7002 + turn % 20, 2) for turn in range(1180, 1200)]
+    rig.bus[0].dataReceived(event(number + 1, 2, *last))
     for _ in range(80):
         rig.step(1000, serve=True)
-        rig.bus[0].dataReceived(event(number, 0))
+        rig.bus[0].dataReceived(event(number + 1, 0))
     assert sizes(rig.node) == before
-    assert rig.node.room.used <= 2
-    open_calls = [c for c in rig.reactor.getDelayedCalls() if c.active()]
-    assert len(open_calls) < 20
+    assert rig.node.room.used <= 2 and len(rig.reactor.getDelayedCalls()) < 20
 
 
 def test_the_time_that_lay_unread_counts():
