--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -44,6 +44,15 @@
         passed = Passed(id or call(serial), "safe", FUNCTION, "", b"in")
         self.link.send((serial, number), "", FUNCTION, 0.0, 1, "safe", "acme", 900.0, 0.0, "", passed)
 
+    def fill(self, *serials):
+        """Sends them, and every dial comes up: the connections, in order, with their pipes."""
+        up = [self.up()] if self.net.dialled else []
+        for serial in serials:
+            self.send(serial)
+            while self.net.dialled:
+                up.append(self.up())
+        return up
+
     def ended(self):
         ends, self.ears.ends = self.ears.ends, []
         return [(key, outcome) for key, outcome, _ in ends]
@@ -67,11 +76,7 @@
 
 def test_a_connection_each_while_there_is_room_then_shared():
     rig = Rig(room=3, streams=2)
-    up = [rig.up()]
-    for serial in range(7):
-        rig.send(serial)
-        while rig.net.dialled:
-            up.append(rig.up())
+    up = rig.fill(*range(7))
     assert len(up) == 3 and rig.room.used == 3
     sent = [[c[1] for c in commands(pipe.take())] for _, pipe in up]
     assert sorted(len(ids) for ids in sent) == [2, 2, 2]
@@ -80,11 +85,7 @@
 
 def test_one_spoilt_answer_takes_no_other_with_it():
     rig = Rig()
-    up = [rig.up()]
-    for serial in range(3):
-        rig.send(serial)
-        while rig.net.dialled:
-            up.append(rig.up())
+    up = rig.fill(*range(3))
     up[1][0].dataReceived(b"\x00" * 40)
     assert rig.ended() == [((1, 0), Outcome.RESET)]
     assert up[1][1].aborted and not up[0][1].closed and not up[2][1].closed
@@ -158,11 +159,7 @@
 def test_a_silent_machine_costs_one_time_out():
     """Danger: a machine that vanished says nothing; idle connections to it look as good as new."""
     rig = Rig()
-    up = [rig.up()]
-    for serial in (1, 2):
-        rig.send(serial)
-        while rig.net.dialled:
-            up.append(rig.up())
+    up = rig.fill(1, 2)
     up[1][0].dataReceived(answer(100, call(2)))
     rig.ended()
     rig.step(20)
@@ -179,11 +176,7 @@
 
 def test_one_answer_that_never_comes_is_no_silent_machine():
     rig = Rig()
-    up = [rig.up()]
-    for serial in (1, 2):
-        rig.send(serial)
-        while rig.net.dialled:
-            up.append(rig.up())
+    up = rig.fill(1, 2)
     rig.step(links.SILENT_MS + 50)
     up[1][0].dataReceived(answer(100, call(2)))
     rig.ended()
@@ -307,11 +300,7 @@
 
 def test_idle_connections_go_but_one_stays_ready():
     rig = Rig()
-    up = [rig.up()]
-    for serial in range(5):
-        rig.send(serial)
-        while rig.net.dialled:
-            up.append(rig.up())
+    up = rig.fill(*range(5))
     for serial in range(5):
         for wire, _ in up:
             wire.dataReceived(answer(100, call(serial)) if call(serial) in wire.open else b"")
@@ -322,17 +311,12 @@
     assert all(pipe.closed for _, pipe in up) and len(rig.net.dialled) == 1
 
 
-def test_what_is_not_allowed_is_not_said():
-    rig = Rig(withdraws=False)
-    _, pipe = rig.up()
-    rig.send(1)
-    rig.link.withdraw((1, 0))
-    assert [c[0] for c in commands(pipe.take())] == [10]
-
-
-def test_call_is_the_id():
-    rig = Rig()
-    _, pipe = rig.up()
-    rig.send(1, id=bytes.fromhex(CALL))
-    assert commands(pipe.take()) == [
-        (10, bytes.fromhex(CALL), {"class": "safe", "key": FUNCTION, "wait": "900"}, b"in")]
+def test_what_is_said_of_a_transmission():
+    for withdraws, codes in ((True, [10, 11]), (False, [10])):  # where the deployment allows no withdrawal
+        rig = Rig(withdraws=withdraws)
+        _, pipe = rig.up()
+        rig.send(1, id=bytes.fromhex(CALL))
+        rig.link.withdraw((1, 0))
+        said = commands(pipe.take())
+        assert [c[0] for c in said] == codes
+        assert said[0] == (10, bytes.fromhex(CALL), {"class": "safe", "key": FUNCTION, "wait": "900"}, b"in")
