--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -148,6 +148,45 @@
         bus.close()
 
 
+def sockets(pid, table):
+    """Inodes of the system's table, whosever they are."""
+    rows = Path(f"/proc/{pid}/net/{table}").read_text().splitlines()[1:]
+    return {row.split()[6 if table == "unix" else 9] for row in rows}
+
+
+def test_what_run_starts_is_one_process_that_sleeps(tmp_path):
+    """The standing test's bench preloads a library into `run` and refuses it all else. Danger: a shell in
+    between, a child, a Unix socket or a thread that spins, and no day of it can be played."""
+    executor, bus = Executor(), Bus()
+    address, path = spare(), tmp_path / "config.json"
+    path.write_bytes(configuration(address, bus.address, ((1, executor.port),)))
+    process = start(path)
+    proc = Path(f"/proc/{process.pid}")
+    try:
+        until(lambda: serving(address))
+        client = Client(address)
+        client.say(request(body=b"abc"))
+        assert client.hear()["result"] == {"bytes": "Y2Jh"}
+        # no shell stands before it: the id that the shell had is the interpreter's, linked dynamically
+        assert "python" in proc.joinpath("exe").readlink().name
+        maps = proc.joinpath("maps").read_text()
+        assert "/libc.so" in maps and "/ld-linux" in maps
+        tasks = list(proc.joinpath("task").iterdir())
+        assert [task.joinpath("children").read_text() for task in tasks] == [""] * len(tasks)
+        # a thread that spins is never seen asleep
+        until(lambda: all(t.joinpath("stat").read_text().rpartition(")")[2].split()[0] == "S" for t in tasks))
+        held = [os.readlink(fd) for fd in proc.joinpath("fd").iterdir()]
+        own = {name[8:-1] for name in held if name.startswith("socket:")}
+        assert len(own) >= 3 and own <= sockets(process.pid, "tcp")  # over IPv4: listener, bus, executor
+        assert not own & sockets(process.pid, "unix")
+    finally:
+        process.terminate()
+        process.communicate(timeout=WAIT_S)
+        executor.close()
+        bus.close()
+    assert process.returncode == 0
+
+
 def test_a_bad_configuration_is_said_in_one_line(tmp_path):
     for data, where in ((b"{", "not JSON"), (configuration(listen=4), "listen"), (None, "No such file")):
         path = tmp_path / "config.json"
