The test of what run starts ends its whole group, so that it fails rather than hangs

Seen: with a shell left before the interpreter the test failed only after its stand-ins had hung, since the shell's child kept the pipe open.

--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -67,7 +67,7 @@
 def start(path, before=""):
     env = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_NAME": "n0"}
     return subprocess.Popen(["/bin/sh", "-c", before + command()], cwd=ROOT, env=env, stdout=subprocess.PIPE,
-                            stderr=subprocess.STDOUT)
+                            stderr=subprocess.STDOUT, start_new_session=True)
 
 
 def test_a_day_of_one_process(tmp_path):
@@ -180,7 +180,7 @@
         assert len(own) >= 3 and own <= sockets(process.pid, "tcp")  # over IPv4: listener, bus, executor
         assert not own & sockets(process.pid, "unix")
     finally:
-        process.terminate()
+        os.killpg(process.pid, signal.SIGTERM)  # a shell that stands before it would leave it behind
         process.communicate(timeout=WAIT_S)
         executor.close()
         bus.close()
