Tests assert the time of the answer to what is given up, in the module and on the node

Need: once the module has given up on a trigger its final answer goes out at once, with a time to come back; nothing asserted when. Seen: it does, in both. Change: tables of what ends a trigger (broken off, group left, transmissions used up, never ran), each answered with the clock standing still and nothing after it; what finds no place is nacked at three tenths of the quoted time. Checked that they fail: with the give-up in _place taken out, four fail; with the node's answer put off by 0.3 s, both of the node's fail. No module or network code changed.

--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -92,6 +92,46 @@
         assert reply["id"] == number and reply["result"]["bytes"]
 
 
+def test_what_is_given_up_is_answered_at_once():
+    """Danger: an answer held back on its way out, towards the client's limit (1,500 ms), so that the client
+    does not ask again. Each comes in the turn in which the executor's word does, with a time to come back."""
+    # tariff, the executor's word, the error, has a time to come back
+    for method, code, expected, told in (("once", 104, -32010, False), ("keyed", 104, -32014, True),
+                                         ("once", None, -32010, False), ("keyed", None, -32014, True)):
+        rig = Rig()
+        client, pipe = rig.client()
+        client.dataReceived(request(1, method))
+        rig.step(20)
+        ((wire, (_, id, _, _)),) = rig.sent()
+        if code is None:
+            wire.connectionLost(lost())
+        else:
+            wire.dataReceived(answer(code, id))
+        before = rig.reactor.seconds()
+        rig.reactor.advance(0)
+        ((reply),) = said(pipe)
+        assert rig.reactor.seconds() == before and reply["error"]["code"] == expected, (method, code)
+        assert (0 < reply["error"].get("data", {}).get("pushback", 0) <= 500) is told
+        rig.step(1600)
+        assert said(pipe) == []
+
+
+def test_what_finds_no_place_is_answered_early():
+    """Full everywhere: the wait ends at a share of the quoted time (1,000 ms), far from the client's own."""
+    rig = Rig()
+    client, pipe = rig.client()
+    client.dataReceived(request(1, "safe", work=100.0))
+    taken, replies = rig.reactor.seconds(), []
+    while not replies and rig.reactor.seconds() < taken + 1.5:
+        rig.step(10)
+        for wire, (_, id, _, _) in rig.sent():
+            wire.dataReceived(answer(103, id))
+        replies = said(pipe)
+    ((reply),) = replies
+    assert reply["error"]["code"] == -32014 and 0 < reply["error"]["data"]["pushback"] <= 500
+    assert rig.reactor.seconds() - taken < 0.4
+
+
 def test_an_executor_at_the_address_of_one_that_has_gone():
     rig = Rig()
     client, _ = rig.client()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from helpers import Host, verbs
 
+from petrelway.choice import HOLD_SHARE, LOOK_AGAIN_MS
 from petrelway.interface import Effect, Outcome, Scope, Stage, Verb
 
 H, S, ONE = Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT
@@ -170,3 +171,50 @@
         e = host.fe.executors[1 - first]
         e.listing = e.listing._replace(stage=stage)
         assert host.fe.gate.send(t, e, 2, host.now) == expected, (changes, stage, seconds)
+
+
+def test_what_is_given_up_is_answered_at_once():
+    """Danger: held towards the outer limit, a nack would keep the client from asking again, and looks well on
+    the bench. The answer comes in the moment in which the module learns that nothing more can be done."""
+    # tariff, transmissions allowed, how each of them ends, the answer, has a time to come back
+    one, stamped, harmless = Effect.ONE_SHOT, Effect.STAMPED, Effect.HARMLESS
+    table = [
+        (one, Scope.ALL, 5, [Outcome.ERROR], "BREAK_OFF"),
+        (one, Scope.ALL, 5, [Outcome.RESET], "BREAK_OFF"),
+        (stamped, Scope.CELL, 5, [Outcome.ERROR], "BREAK_OFF"),  # the other one is in another cell
+        (stamped, Scope.ALL, 1, [Outcome.ERROR], "NACK"),
+        (harmless, Scope.ALL, 1, [Outcome.RESET], "NACK"),
+        (harmless, Scope.ALL, 2, [Outcome.UNREACHABLE, Outcome.ERROR], "NACK"),
+        (one, Scope.ALL, 2, [Outcome.FULL, Outcome.FULL], "NACK"),
+    ]
+    for effect, scope, sends, ends, expected in table:
+        host = Host(3 if scope is Scope.ALL else 2, effect=effect, scope=scope, sends=sends)
+        if scope is Scope.CELL:
+            host.lists({0: Stage.READY, 2: Stage.READY})
+        t = host.take()
+        for number, outcome in enumerate(ends):
+            (sent,) = host.pull()
+            host.now += 70.0
+            host.end(t, outcome, number=number, executor=sent.executor)
+        (answer,) = host.pull()  # the clock stands still
+        assert answer.verb.name == expected, (effect, ends, answer)
+        assert answer.ms == (min(500.0, host.fe.mean_ms) if expected == "NACK" else 0.0), answer
+        assert host.pull(4000.0) == []  # and nothing follows up to the outer limit
+
+
+def test_what_finds_no_place_is_answered_early():
+    """A wait for a place ends at a share of the quoted time (1 s), far from the outer limit (4 s)."""
+    # size, a client's repeat, when the answer comes at the latest
+    for size, repeat, latest in ((100.0, False, HOLD_SHARE * 1000.0 + LOOK_AGAIN_MS), (100.0, True, 0.0),
+                                 (2000.0, False, 0.0)):
+        host = Host(2)
+        host.teach(0)
+        host.fe.kind_pace = {0: 1.0}
+        for e in host.fe.ready:
+            e.weigh(1, 0.5)
+        began = host.now
+        host.fe.trigger_taken(began, 99, 0, 0, 0, 4000.0, size, repeat)
+        found = host.pull(latest)
+        assert [(d.verb, d.trigger) for d in found] == [(Verb.NACK, 99)], (size, repeat, found)
+        assert found[0].ms == min(500.0, host.fe.mean_ms)
+        assert host.pull(4000.0) == []
