No trigger waits for a load or an empty list to its outer limit: nacked at half of its time

Cause: _place held a hopeless trigger without a bound while a load of its function was under way, and _hopeless was never true with an empty list. The platform prices nothing sent after half of the client's time, so that is the bound, or the quoted time where that is later.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -67,7 +67,8 @@
 LATE_GAIN = 0.1  # weight of one answer in the share of late ones ...
 JAM = 0.2  # ... past which the limit for all own triggers is cut; it grows below half of it. Danger: a few
 # slow executors are no jam; and cut and growth at once, of hundreds of front ends, never ended one
-HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time
+HOLD_SHARE = 0.3  # a trigger waits for a place at most this share of its quoted time ...
+PATIENCE = 0.5  # ... and for a load or an executor at all this share of the client's, or the quoted time
 LIMIT_CUT = 0.9  # the limit is cut by this at most once in the time of an answer
 LATE = 0.8  # answers slower than this share of the quoted time: the fleet has too much to do ...
 SLOWED = 2.5  # ... if slower than this times the usual, where the work was told: else it was a dear trigger
@@ -99,6 +100,7 @@
         self.function, self.size, self.work_ms = function, size, 0.0  # 0: no work told
         self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
         self.quoted_by = now + tariff.quoted_ms
+        self.patient_until = max(self.quoted_by, now + PATIENCE * remaining_ms) - LOOK_AGAIN_MS
         self.out: dict[int, Transmission] = {}
         self.sent = 0
         self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
@@ -610,7 +612,7 @@
         shut = not t.sent and self.out >= self.limit and self.view(now) < LIMIT_LEAST
         e = None if shut else self.choose(t, now)
         spent = e is None and t.ran and t.tariff.effect is not Effect.HARMLESS
-        if e is None and (spent or self._hopeless(t, now) and not self._loading(f)):
+        if e is None and (spent or self._hopeless(t, now)):
             return self._give_up(t)  # no place in time, or nothing may be sent again: say so now
         if e is not None and self.keeping.answers_miss and f.index not in e.resume:
             if f.index in e.orders or t.missed and (self._loading(f) or f.index in self.wanted):
@@ -622,10 +624,13 @@
         return self._send(t, e, now)
 
     def _hopeless(self, t: Trigger, now: float) -> bool:
-        """No place: a client's repeat and what can't be in time give way, then what has waited too long."""
+        """No place: a client's repeat and what can't be in time give way, then what has waited too long.
+        Danger: a load that hangs, or a list that stays empty, would hold a trigger to its outer limit."""
+        if not self.ready or self._loading(t.function):
+            return now > t.patient_until
         late = now > t.quoted_by - (1.0 - HOLD_SHARE) * t.tariff.quoted_ms
         least = min(self.kind_pace.values(), default=1.0)
-        return bool(self.ready) and (t.repeat or late or t.size * least > LATE * t.tariff.quoted_ms)
+        return t.repeat or late or t.size * least > LATE * t.tariff.quoted_ms
 
     def _loading(self, f: Function) -> bool:
         return f.index in self.fleet.loading
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,3 +218,25 @@
         assert [(d.verb, d.trigger) for d in found] == [(Verb.NACK, 99)], (size, repeat, found)
         assert found[0].ms == min(500.0, host.fe.mean_ms)
         assert host.pull(4000.0) == []
+
+
+def test_no_wait_goes_on_to_the_outer_limit():
+    """Danger: a load that hangs, or a list that stays empty: a trigger with nothing sent is nacked only when
+    its client's time is up."""
+    # the client's time, when the answer comes: half of it, but never before the quoted time (1,000 ms)
+    for stay in ("empty list", "load"):
+        for remaining, expected in ((4000.0, 2000.0), (1500.0, 1000.0), (600.0, 600.0)):
+            host = Host(2)
+            if stay == "empty list":
+                host.lists({})
+            else:
+                host.take()
+                (sent,) = host.pull()  # it waits for the load there, and this executor takes no more
+                for e in host.fe.ready:
+                    e.weigh(1, 0.5)
+                host.fe.seconds = 0.0
+            began, t = host.now, host.take(remaining=remaining)
+            assert host.pull(expected - LOOK_AGAIN_MS - 1.0) == [], (stay, remaining)
+            found = [d for d in host.pull(LOOK_AGAIN_MS + 1.0) if d.trigger == t]
+            assert verbs(found) == ["NACK"] and host.now <= began + expected, (stay, remaining)
+            assert found[0].ms > 0.0
