Settings that can't be used are refused in one line instead of read as something else

Cause: terms.py read float(source.get(key) or 0.0) and bool(value). Change: one reader of parts with place, found and allowed; what decides must be there; unknown keys are let be as the wire page wants. On a reload: counted, logged once for a reason in a row, the old one serves; other settings are named. Tests: a table of 44 settings and a node that is reloaded badly nine times.

--- a/petrelway/drill/codec.py
+++ b/petrelway/drill/codec.py
@@ -6,7 +6,7 @@
 
 from ..indices import Ids
 from ..interface import Decision, Listing, Outcome, Stage, Verb, Warmth
-from ..terms import read_terms
+from ..terms import TermsFault, read_terms
 
 STAGES = {"active": Stage.READY, "leaving": Stage.DRAINING, "left": Stage.GONE}
 OUTCOMES = {
@@ -26,7 +26,10 @@
     def __init__(self, name: str, now: float, seed: int, told: dict) -> None:
         self.name = name
         self.triggers, self.executors, self.functions = Ids(), Ids(), Ids()
-        self.front_end = read_terms(told).front_end(now, seed)
+        try:
+            self.front_end = read_terms(told).front_end(now, seed)
+        except TermsFault as fault:
+            raise WireFault(f"begin of {name}: {fault}") from fault
 
     def event(self, now: float, item: list) -> None:
         """Hand one event to the module as a call."""
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
 from twisted.application import service
@@ -51,6 +52,8 @@
         self.reactor, self.told, self.read, self.log = reactor, told, read, log
         self.connect = connect or connector(reactor)
         self.lag_ms = 0.0
+        self.counts: Counter[str] = Counter()  # of configurations
+        self.refused = ""  # why the last one was refused
         self.port = self.pulse = None
         self.stopping = False
 
@@ -159,11 +162,19 @@
         try:
             told = read_told(self.read())
         except (PlatformFault, OSError) as fault:
-            self.log.error("configuration can't be used: the old one holds", reason=str(fault))
+            self.counts["refused"] += 1
+            if str(fault) != self.refused:  # once for each reason in a row
+                self.refused = str(fault)
+                self.log.error("configuration can't be used: the old one holds", reason=self.refused)
             return
         if self.stopping:
             return
+        self.counts["read again"] += 1
+        self.refused = ""
         self.log.info("configuration read again", bus="{}:{}".format(*told.bus))
+        if told.terms != self.told.terms and not self.counts["other settings"]:
+            self.log.warning("other settings hold from the next start on")
+        self.counts["other settings"] += told.terms != self.told.terms
         if told.bus != (self.follower.address, self.follower.port):
             self.follower.moved(*told.bus)
 
@@ -201,6 +212,7 @@
             "door": dict(sorted(self.door.counts.items())),
             "links": dict(sorted(self.room.counts.items())),
             "shed": dict(sorted(self.shedder.nacked.items())),
+            "configurations": dict(sorted(self.counts.items())),
         }
 
     def _pause(self, ms: float) -> defer.Deferred:
--- a/petrelway/platform/told.py
+++ b/petrelway/platform/told.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..terms import Terms, read_terms
+from ..terms import Terms, TermsFault, read_terms
 from .faults import PlatformFault
 
 SOCKETS_LEAST = 64  # fewer descriptors leave no room for clients and executors
@@ -43,17 +43,10 @@
     sockets, memory_mb = _limit(limits, "sockets", 1024.0), _limit(limits, "memory_mb", 192.0)
     if sockets < SOCKETS_LEAST:
         raise PlatformFault(f"limits.sockets: found {sockets:g}; allowed: {SOCKETS_LEAST} or more")
-    settings = told.get("settings")
-    if type(settings) is not dict:
-        raise PlatformFault(f"settings: found {type(settings).__name__}; allowed: an object")
     try:
-        terms = read_terms(settings)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise PlatformFault(f"settings: can't be used: {error!r}") from error
-    if not terms.tariffs:
-        raise PlatformFault("settings.classes: found none; allowed: one or more")
-    if not 0 <= terms.place.hall < max(1, len(terms.halls)):
-        raise PlatformFault(f"settings.zone: found {terms.place.hall}; allowed: a place in zones")
+        terms = read_terms(told.get("settings"))
+    except TermsFault as fault:
+        raise PlatformFault(str(fault)) from fault
     return Told(str(told.get("name", "")), address, port, seed, int(sockets), memory_mb,
                 _endpoint(told, "bus"), told.get("known"), terms)
 
--- a/petrelway/standin/platform.py
+++ b/petrelway/standin/platform.py
@@ -29,7 +29,8 @@
     "zones": ["east", "west"], "kinds": ["std"], "zone": 0, "position": 0, "peersTotal": 1,
     "limits": {"sendCap": 3, "secondCopies": True, "cancel": True, "probes": True, "retryAfter": True,
                "maxRetryAfterS": 0.5, "multiplex": 4, "connectTimeoutS": 0.25, "idleCloseS": 30.0},
-    "familyInfo": {"notLoaded": "miss", "loadControl": True, "keepS": 8.0, "orderTimeoutS": 10.0},
+    "familyInfo": {"notLoaded": "miss", "loadControl": True, "keepS": 8.0, "orderTimeoutS": 10.0,
+                   "loadsWithinS": 0.0},
     "invariants": {"fallMultiple": 4.0, "fallS": 1.5, "startCapacity": 0.2, "coldS": 10.0},
 }
 
--- a/petrelway/terms.py
+++ b/petrelway/terms.py
@@ -1,12 +1,13 @@
 """A deployment's terms: the settings object that the simulator and the platform both tell, read once.
 
-Used by the drill and by the node; the standard library alone. Unknown keys are ignored, missing ones read as
-nothing. Durations come in seconds and leave as milliseconds.
+Used by the drill and by the node; the standard library alone. Unknown keys are let be, as the wire page
+wants; what decides something must be there, of its type and in its range. Durations come in seconds and leave
+as milliseconds. Source: the wire page, "What does an instance know at start?".
 """
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .choice import FrontEnd
 from .interface import (
@@ -48,43 +49,137 @@
                         self.cold, self.ration)
 
 
-def _number(source: dict, key: str, scale: float = 1.0) -> float:
-    return float(source.get(key) or 0.0) * scale
+class TermsFault(ValueError):
+    """A setting that can't be used: where it stands, what was found, what is allowed."""
 
 
-def read_terms(told: dict) -> Terms:
-    """Raises KeyError, TypeError, ValueError or AttributeError where a value is of no use.
+class Part:
+    """One object of the settings. Danger: what is missing, or read as something else, would change decisions
+    without a word; without the time that an executor is cold, rule 4 would not be kept.
 
-    >>> read_terms({"classes": [{"name": "a", "aimS": 1.0, "effect": "dedup"}]}).tariffs[0].quoted_ms
-    1000.0
+    >>> Part({"aimS": "1"}, "settings").number("aimS", 1e3)
+    Traceback (most recent call last):
+    petrelway.terms.TermsFault: settings.aimS: found '1'; allowed: a number from 0 to 1e+09
     """
-    limits, family, rules = (told.get(key) or {} for key in ("limits", "familyInfo", "invariants"))
-    classes, orgs = told.get("classes") or [], told.get("orgs") or []
-    tariffs = [
-        Tariff(EFFECTS[c.get("effect", "fragile")], SCOPES[c.get("dedupScope") or "all"],
-               _number(c, "windowS", 1e3), _number(c, "aimS", 1e3), _number(c, "deadlineS", 1e3),
-               float(c.get("worth", 1.0)), _number(c, "lateWorth"))
-        for c in classes
-    ]
-    customers = [Customer(_number(o, "portion"), _number(o, "quotaRps")) for o in orgs]
-    place = Place(told.get("position") or 0, told.get("peersTotal") or 1, told.get("zone") or 0)
+
+    def __init__(self, told: Any, path: str) -> None:
+        self.told, self.path = told, path
+        if type(told) is not dict:
+            raise TermsFault(f"{path}: found {told!r:.60}; allowed: an object")
+
+    def fault(self, key: str, allowed: str) -> TermsFault:
+        found = f"{self.told[key]!r:.60}" if key in self.told else "nothing"
+        return TermsFault(f"{self.path}.{key}: found {found}; allowed: {allowed}")
+
+    def part(self, key: str) -> Part:
+        return Part(self.told.get(key), f"{self.path}.{key}")
+
+    def parts(self, key: str) -> list[Part]:
+        """Objects in a list; none where the key is missing."""
+        found = self.told.get(key) or []
+        if type(found) is not list:
+            raise self.fault(key, "a list of objects")
+        return [Part(each, f"{self.path}.{key}[{i}]") for i, each in enumerate(found)]
+
+    def number(self, key: str, scale: float = 1.0, least: float = 0.0, most: float = 1e9,
+               default: float | None = None) -> float:
+        """`default`: for a key that may be missing."""
+        value = self.told.get(key, default)
+        # what is undefined lies in no range; true and false are no numbers here
+        if type(value) not in (int, float) or not least <= value <= most:
+            raise self.fault(key, f"a number from {least:g} to {most:g}")
+        return float(value) * scale
+
+    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
+        value = self.told.get(key, default)
+        if type(value) not in (int, float) or not least <= value <= most or value != int(value):
+            raise self.fault(key, f"a whole number from {least} to {most}")
+        return int(value)
+
+    def flag(self, key: str, default: bool | None = None) -> bool:
+        value = self.told.get(key, default)
+        if type(value) is not bool:
+            raise self.fault(key, "true or false")
+        return value
+
+    def word(self, key: str, words: dict[str, Any]) -> Any:
+        value = self.told.get(key)
+        if type(value) is not str or value not in words:
+            raise self.fault(key, f"one of {', '.join(words)}")
+        return words[value]
+
+    def name(self, key: str) -> str:
+        value = self.told.get(key)
+        if type(value) is not str or not value:
+            raise self.fault(key, "a name")
+        return value
+
+    def names(self, key: str) -> list[str]:
+        found = self.told.get(key, [])
+        if type(found) is not list or not all(type(each) is str for each in found):
+            raise self.fault(key, "a list of names")
+        return found
+
+
+LEAST, SECONDS = 1e-6, 1e6  # of a time in seconds that must be one; the longest
+
+
+def _tariff(told: Part) -> Tariff:
+    effect = told.word("effect", EFFECTS)
+    stamped = effect is Effect.STAMPED
+    return Tariff(
+        effect,
+        told.word("dedupScope", SCOPES) if stamped else Scope.ALL,
+        told.number("windowS", 1e3, 0.0, SECONDS) if stamped else 0.0,
+        told.number("aimS", 1e3, LEAST, SECONDS),
+        told.number("deadlineS", 1e3, LEAST, SECONDS),
+        told.number("worth", default=1.0),
+        told.number("lateWorth", default=0.0),
+    )
+
+
+def read_terms(settings: Any) -> Terms:
+    """Raises TermsFault at the first setting that can't be used.
+
+    >>> read_terms({"classes": [{"name": "a", "aimS": 1.0, "effect": "dedup", "dedupScope": "all"}]})
+    Traceback (most recent call last):
+    petrelway.terms.TermsFault: settings.classes[0].windowS: found nothing; allowed: a number from 0 to 1e+06
+    """
+    told = Part(settings, "settings")
+    classes, orgs = told.parts("classes"), told.parts("orgs")
+    if not classes:
+        raise told.fault("classes", "one or more")
+    names, halls = [c.name("name") for c in classes], told.names("zones")
+    if len(set(names)) < len(names):
+        raise told.fault("classes", "names that differ")
+    tariffs = [_tariff(c) for c in classes]
+    customers = [Customer(o.number("portion", default=0.0), o.number("quotaRps", default=0.0)) for o in orgs]
+    place = Place(told.whole("position", 0, 10**6, 0), told.whole("peersTotal", 1, 10**6),
+                  told.whole("zone", 0, max(0, len(halls) - 1), 0))
+    limits, family, rules = (told.part(key) for key in ("limits", "familyInfo", "invariants"))
     permits = Permits(
-        int(limits.get("sendCap") or 1), bool(limits.get("secondCopies")), bool(limits.get("cancel")),
-        bool(limits.get("probes")), bool(limits.get("peers")),
-        _number(limits, "maxRetryAfterS", 1e3) if limits.get("retryAfter") else 0.0,
+        limits.whole("sendCap", 1, 1000), limits.flag("secondCopies"), limits.flag("cancel"),
+        limits.flag("probes", False), limits.flag("peers", False),
+        limits.number("maxRetryAfterS", 1e3, 0.0, SECONDS) if limits.flag("retryAfter") else 0.0,
     )
+    orders = family.flag("loadControl")
     keeping = Keeping(
-        family.get("notLoaded") == "miss", bool(family.get("loadControl")), _number(family, "keepS", 1e3),
-        _number(family, "orderTimeoutS", 1e3), _number(family, "idlePrice"),
+        family.word("notLoaded", {"miss": True, "load": False}), orders,
+        family.number("keepS", 1e3, 0.0, SECONDS),
+        family.number("orderTimeoutS", 1e3, LEAST, SECONDS) if orders else 0.0,
+        family.number("idlePrice", default=0.0),
     )
-    cold = ColdRule(_number(rules, "fallMultiple"), _number(rules, "fallS", 1e3),
-                    _number(rules, "startCapacity"), _number(rules, "coldS", 1e3))
-    ration = LoadRation(_number(family, "loadsWithinS", 1e3), _number(family, "loadFloor"),
-                        _number(family, "loadsPerRequest"))
+    cold_ms = rules.number("coldS", 1e3, 0.0, SECONDS)
+    cold = ColdRule(0.0, 0.0, 0.0, 0.0) if not cold_ms else ColdRule(
+        rules.number("fallMultiple", 1.0, LEAST), rules.number("fallS", 1e3, LEAST, SECONDS),
+        rules.number("startCapacity", 1.0, 0.0, 1.0), cold_ms)
+    window_ms = family.number("loadsWithinS", 1e3, 0.0, SECONDS) if orders else 0.0
+    ration = LoadRation(window_ms, family.number("loadFloor") if window_ms else 0.0,
+                        family.number("loadsPerRequest") if window_ms else 0.0)
     return Terms(
         place, tariffs, customers, permits, keeping, cold, ration,
-        [str(c.get("name", "")) for c in classes], [str(o.get("name", "")) for o in orgs],
-        [str(z) for z in told.get("zones") or []], [str(k) for k in told.get("kinds") or []],
-        max(1, int(limits.get("multiplex") or 1)), _number(limits, "connectTimeoutS", 1e3),
-        _number(limits, "idleCloseS", 1e3),
+        names, [o.name("name") for o in orgs], halls, told.names("kinds"),
+        limits.whole("multiplex", 1, 10**6),
+        limits.number("connectTimeoutS", 1e3, LEAST, SECONDS),
+        limits.number("idleCloseS", 1e3, LEAST, SECONDS),
     )
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -7,7 +7,9 @@
 
 from petrelway.node.service import OPEN_MS, NodeService
 from petrelway.platform.told import read_told
-from petrelway.standin.platform import CALL, answer, commands, configuration, event, record, request
+from petrelway.standin.platform import (
+    CALL, SETTINGS, answer, commands, configuration, event, record, request,
+)
 
 
 class Port:
@@ -171,6 +173,28 @@
     assert said(pipe)[0]["result"]
 
 
+def test_a_configuration_that_cannot_be_used_is_counted_and_said_once():
+    """Danger: a day of SIGHUPs with a bad file floods the log, or settings change without a word."""
+    rig = Rig()
+    client, pipe = rig.client()
+    good = rig.file
+    short = {**SETTINGS, "familyInfo": {"notLoaded": "miss"}}
+    other = {**SETTINGS, "limits": {**SETTINGS["limits"], "sendCap": 5}}
+    for file, times in ((configuration(settings=short), 3), (b"{", 2), (good, 1),
+                        (configuration(settings=short), 1), (configuration(settings=other), 2)):
+        rig.file = file
+        for _ in range(times):
+            rig.node.reload()
+    said_so = [what["reason"] for event, what in rig.log.lines if event.startswith("configuration can't")]
+    assert [reason.partition(":")[0] for reason in said_so] == [
+        "settings.familyInfo.loadControl", "not JSON", "settings.familyInfo.loadControl"]
+    assert rig.log.events().count("other settings hold from the next start on") == 1
+    assert rig.node.figures()["configurations"] == {"other settings": 2, "read again": 3, "refused": 6}
+    client.dataReceived(request())
+    rig.step(100, serve=True)
+    assert said(pipe)[0]["result"]  # the old one serves on
+
+
 def test_sigterm_serves_on_for_a_moment_then_answers_what_is_owed():
     rig = Rig()
     usual, idle, late = (rig.client() for _ in range(3))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
     CALL,
     FUNCTION,
     ONCE,
+    SETTINGS,
     answer,
     commands,
     configuration,
@@ -23,6 +24,7 @@
     record,
     request,
 )
+from petrelway.terms import TermsFault, read_terms
 
 
 class Said:
@@ -262,9 +264,64 @@
         (configuration(bus=7), "bus"), (configuration(listen="a:99999"), "listen"),
         (configuration(seed="xyz"), "seed"), (configuration(sockets=3), "limits.sockets"),
         (configuration(limits=4), "limits"), (configuration(settings=None), "settings"),
-        (configuration(settings={"classes": [{"effect": "odd"}]}), "settings"),
         (configuration(settings={}), "settings.classes"),
+        (configuration(settings={**SETTINGS, "limits": {}}), "settings.limits.sendCap: found nothing"),
     ]
     for data, where in table:
         with pytest.raises(PlatformFault, match=where):
             read_told(data)
+
+
+def without(told, *path):
+    """The same settings with one key gone."""
+    key, rest = path[0], path[1:]
+    if not rest:
+        return {k: v for k, v in told.items() if k != key}
+    if type(told[key]) is list:
+        return {**told, key: [without(told[key][0], *rest), *told[key][1:]]}
+    return {**told, key: without(told[key], *rest)}
+
+
+def test_settings_that_cannot_be_used_are_refused():
+    """Danger: a missing or misread setting changes decisions without a word. Found by asking the module:
+    without keepS each resume is empty after a second, with sendCap -3 all is nacked."""
+
+    def told(part=None, **more):
+        if part is None:
+            return {**SETTINGS, **more}
+        if part == "classes":
+            return {**SETTINGS, part: [{**SETTINGS[part][1], **more}, *SETTINGS[part][:1]]}
+        return {**SETTINGS, part: {**SETTINGS[part], **more}}
+
+    table = [
+        ([], "settings: found"), (None, "settings: found"), ({}, "settings.classes: found nothing"),
+        (told(classes=[]), "settings.classes"), (told(classes={"a": 1}), "settings.classes"),
+        (told(classes=[7]), r"settings.classes\[0\]"), (told(classes=SETTINGS["classes"] * 2), "differ"),
+        (told("classes", effect="odd"), r"classes\[0\].effect: found 'odd'; allowed: one of retryable"),
+        (told("classes", effect=None), "effect"), (told("classes", dedupScope="row"), "dedupScope"),
+        (told("classes", aimS="1.0"), "aimS"), (told("classes", aimS=-1.0), "aimS"),
+        (told("classes", aimS=0), "aimS"), (told("classes", aimS=float("nan")), "aimS"),
+        (told("classes", deadlineS=float("inf")), "deadlineS"),
+        (told("classes", deadlineS=True), "deadlineS"),
+        (told("classes", windowS=[4]), "windowS"), (told("classes", name=""), "name"),
+        (told(orgs=[{"name": "a", "quotaRps": -5}]), r"orgs\[0\].quotaRps"), (told(orgs=[{}]), "name"),
+        (told(peersTotal=0), "peersTotal"), (told(zone=2), "settings.zone"), (told(zones="east"), "zones"),
+        (told("limits", sendCap=-3), "sendCap"), (told("limits", sendCap=1.5), "sendCap"),
+        (told("limits", secondCopies="no"), "secondCopies"), (told("limits", multiplex=0), "multiplex"),
+        (told("familyInfo", notLoaded="queue"), "notLoaded"), (told("familyInfo", keepS="8"), "keepS"),
+        (told("invariants", startCapacity=1.2), "startCapacity"),
+        (told(invariants=None), "settings.invariants"),
+        *((without(SETTINGS, *path), f"{path[-1]}: found nothing") for path in (
+            ("classes", "effect"), ("classes", "aimS"), ("classes", "deadlineS"), ("limits", "sendCap"),
+            ("limits", "cancel"), ("limits", "maxRetryAfterS"), ("limits", "connectTimeoutS"),
+            ("familyInfo", "keepS"), ("familyInfo", "loadControl"), ("familyInfo", "orderTimeoutS"),
+            ("familyInfo", "loadsWithinS"), ("invariants", "coldS"), ("invariants", "fallMultiple"),
+            ("peersTotal",))),
+    ]
+    for settings, where in table:
+        with pytest.raises(TermsFault, match=where):
+            read_terms(settings)
+    assert read_terms(SETTINGS).tariffs
+    # what the wire page says may be missing, and keys that it does not name
+    assert read_terms(without(SETTINGS, "orgs")).customers == []
+    assert read_terms(told(later={"x": 1})) == read_terms(SETTINGS)
