In settings null stands for an absent value, as on the whole wire

Cause: rereading; the wire page writes null for an absent value, and a null in a key that may be missing (orgs, probes, worth) was refused, so a front end would not have started. Change: Part.read takes null as missing, in one place. Result: orgs and probes given as null read as missing, a null in a key that decides is still refused (two lines of the table).

--- a/petrelway/terms.py
+++ b/petrelway/terms.py
@@ -67,16 +67,21 @@
         if type(told) is not dict:
             raise TermsFault(f"{path}: found {told!r:.60}; allowed: an object")
 
+    def read(self, key: str, default: Any = None) -> Any:
+        """null stands for an absent value, as on the whole wire."""
+        value = self.told.get(key)
+        return default if value is None else value
+
     def fault(self, key: str, allowed: str) -> TermsFault:
         found = f"{self.told[key]!r:.60}" if key in self.told else "nothing"
         return TermsFault(f"{self.path}.{key}: found {found}; allowed: {allowed}")
 
     def part(self, key: str) -> Part:
-        return Part(self.told.get(key), f"{self.path}.{key}")
+        return Part(self.read(key), f"{self.path}.{key}")
 
     def parts(self, key: str) -> list[Part]:
         """Objects in a list; none where the key is missing."""
-        found = self.told.get(key) or []
+        found = self.read(key, [])
         if type(found) is not list:
             raise self.fault(key, "a list of objects")
         return [Part(each, f"{self.path}.{key}[{i}]") for i, each in enumerate(found)]
@@ -84,38 +89,38 @@
     def number(self, key: str, scale: float = 1.0, least: float = 0.0, most: float = 1e9,
                default: float | None = None) -> float:
         """`default`: for a key that may be missing."""
-        value = self.told.get(key, default)
+        value = self.read(key, default)
         # what is undefined lies in no range; true and false are no numbers here
         if type(value) not in (int, float) or not least <= value <= most:
             raise self.fault(key, f"a number from {least:g} to {most:g}")
         return float(value) * scale
 
     def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
-        value = self.told.get(key, default)
+        value = self.read(key, default)
         if type(value) not in (int, float) or not least <= value <= most or value != int(value):
             raise self.fault(key, f"a whole number from {least} to {most}")
         return int(value)
 
     def flag(self, key: str, default: bool | None = None) -> bool:
-        value = self.told.get(key, default)
+        value = self.read(key, default)
         if type(value) is not bool:
             raise self.fault(key, "true or false")
         return value
 
     def word(self, key: str, words: dict[str, Any]) -> Any:
-        value = self.told.get(key)
+        value = self.read(key)
         if type(value) is not str or value not in words:
             raise self.fault(key, f"one of {', '.join(words)}")
         return words[value]
 
     def name(self, key: str) -> str:
-        value = self.told.get(key)
+        value = self.read(key)
         if type(value) is not str or not value:
             raise self.fault(key, "a name")
         return value
 
     def names(self, key: str) -> list[str]:
-        found = self.told.get(key, [])
+        found = self.read(key, [])
         if type(found) is not list or not all(type(each) is str for each in found):
             raise self.fault(key, "a list of names")
         return found
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -325,3 +325,5 @@
     # what the wire page says may be missing, and keys that it does not name
     assert read_terms(without(SETTINGS, "orgs")).customers == []
     assert read_terms(told(later={"x": 1})) == read_terms(SETTINGS)
+    assert read_terms(told(orgs=None)).customers == []  # null stands for an absent value
+    assert read_terms(told("limits", probes=None)).permits.probes is False
