--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -17,8 +17,8 @@
 from hashlib import blake2b
 
 from .interface import (
-    NEVER_RAN, ColdRule, Customer, Decision, Effect, Keeping, Listing, LoadRation, Outcome, Permits, Place,
-    Released, Scope, Stage, Tariff, Verb, Warmth)
+    NEVER_RAN, ColdRule, Customer, Decision, Effect, Keeping, Listing, LoadRation, Outcome, Part, Permits,
+    Place, Released, Scope, Stage, Tariff, Verb, Warmth)
 
 # Tuned values. Times in ms.
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
@@ -224,10 +224,11 @@
 class Gate:
     """The five rules, at the one place that every transmission, order and final answer passes."""
 
-    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, told_rate: float,
+    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, told_rate: float, own: float,
                  chance: random.Random, start: float) -> None:
         self.permits, self.cold, self.ration = permits, cold, ration
         self.told_rate, self.chance, self.start = told_rate, chance, start
+        self.own, self.part = own, Part(own, start)  # shares of the fleet's rations: what is told has an end
         self.seen: dict[int, tuple[float, float]] = {}  # machine kind -> decayed count of fulfilled, time
         self.usual: dict[int, float] = {}  # what a warm one of the kind carries of our triggers, a ms
         self.taken, self.ordered = deque[float](), deque[float]()
@@ -264,6 +265,10 @@
         if warm:
             self.usual[kind] = count / span / warm
 
+    def share(self, now: float) -> float:
+        """Danger: whoever stood still, or hears nothing more, would use what others use again."""
+        return self.part.share if now < self.part.until_ms else self.own
+
     def is_cold(self, e: Executor, now: float) -> bool:
         return now < e.listing.started_ms + self.cold.warm_ms
 
@@ -279,7 +284,8 @@
         part = COLD_MARGIN * cold.multiple * (cold.start_share + (1.0 - cold.start_share) * grown)
         # danger: a restarted front end has no history; then the customers' shares, which the fleet can
         # carry, are split evenly over front ends and executors, and halved
-        rate = part * max(self.usual.get(e.listing.machine, 0.0), 0.5 * self.told_rate / max(1, listed))
+        told = 0.5 * self.share(now) * self.told_rate / max(1, listed)
+        rate = part * max(self.usual.get(e.listing.machine, 0.0), told)
         if rate <= 0.0:
             return False
         span = max(cold.span_ms, 1.0 / rate)
@@ -323,7 +329,7 @@
         self.chance = random.Random(seed)
         self.told_rate = sum(c.rate for c in customers) / 1000.0  # of all front ends, a ms
         self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
-        self.gate = Gate(permits, cold, ration, self.told_rate / max(1, place.peers), self.chance, now)
+        self.gate = Gate(permits, cold, ration, self.told_rate, 1.0 / max(1, place.peers), self.chance, now)
         self.executors: dict[int, Executor] = {}
         self.fleet = Fleet()
         self.ready = self.fleet.ready
@@ -531,6 +537,9 @@
             t.answered = True
             self.attention.append(trigger)
 
+    def part_told(self, now: float, part: Part) -> None:
+        self.gate.part = part
+
     def time_passed(self, now: float) -> None:
         self._untimely(now)
         self.wake_ms = math.inf
--- a/petrelway/commands/__init__.py
+++ b/petrelway/commands/__init__.py
@@ -11,7 +11,7 @@
 
 GROUPS = {
     "fronts": ("serve", "check"),
-    "looks": ("status", "explain", "top"),
+    "looks": ("status", "explain", "top", "members"),
     "rehearsals": ("rehearse", "judge"),
     "emulations": ("emulate", "experiment", "plot", "compare", "hunt"),
     "loads": ("load",),
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -44,7 +44,9 @@
 @click.argument("file", type=click.Path())
 @click.option("--policy", default="petrelway", hidden=True, help="A baseline, for rehearsals only.")
 @click.option("--meter", is_flag=True, hidden=True, help="Measure the time spent in decisions.")
-def serve(file: str, policy: str, meter: bool) -> None:
+@click.option("--record", type=click.Path(), hidden=True, help="A rehearsal's record of the fleet.")
+@click.option("--epoch-ms", type=float, default=0.0, hidden=True, help="When the rehearsal's day begins.")
+def serve(file: str, policy: str, meter: bool, record: str | None, epoch_ms: float) -> None:
     """Run a front end with the settings FILE until SIGTERM or SIGINT; what is owed is answered first."""
     found = read_or_exit(read_front_end, file)
     from twisted.internet import error, reactor
@@ -53,7 +55,11 @@
     from ..front.collecting import settle
     from ..front.service import FrontEndService
     from ..rehearsal.baselines import POLICIES
+    from ..standin.records import Record
+    from ..steady import steady
 
+    # danger: a step back of the system's clock would stop every timer, and keep what has an end
+    reactor.seconds = steady()
     wanted = found["log"]
     try:
         log, lines = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
@@ -66,16 +72,20 @@
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
     # the pass-through has no state to watch: it is the bare intake, host and links
     meter_s = time.perf_counter if meter else None
+    written = Record(record, reactor, epoch_ms, 0) if record else None
+    note = written.note if written else None
     if policy == "pass-through":
-        front = FrontEndService(reactor, found, log, POLICIES[policy], meter_s)
+        front = FrontEndService(reactor, found, log, POLICIES[policy], meter_s, note=note)
     else:
-        front = Daemon(reactor, found, log, POLICIES[policy], meter_s, lines=lines)
+        front = Daemon(reactor, found, log, POLICIES[policy], meter_s, lines=lines, note=note)
     try:
         front.startService()
     except ValueError as problem:
         raise click.UsageError(f"{file}: console.token_file: {problem}") from problem
     except error.CannotListenError as problem:
         section = "listen" if problem.port == found["listen"].port else "console"
+        if "peers" in found and problem.port == found["peers"].port:
+            section = "peers"
         raise click.UsageError(
             f"{file}: {section}.port: found {problem.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free port"
--- a/petrelway/commands/looks.py
+++ b/petrelway/commands/looks.py
@@ -1,4 +1,4 @@
-"""`petrelway status`, `explain` and `top`: what a daemon's console says, in a terminal."""
+"""`petrelway status`, `explain`, `top` and `members`: what a daemon's console says, in a terminal."""
 
 from __future__ import annotations
 
@@ -84,4 +84,29 @@
     Top(lambda page, **query: ask(console, page, **query), every).run()
 
 
-VERBS = [status, explain, top]
+@click.command()
+@CONSOLE
+@click.option("--json", "as_json", is_flag=True)
+def members(console: str, as_json: bool) -> None:
+    """The fleet as the front end with that console sees it. Exit 1 unless it is whole."""
+    seen = ask(console, "members")
+    while len(seen["rows"]) < seen["of"]:
+        seen["rows"] += ask(console, "members", **{"from": str(len(seen["rows"]))})["rows"]
+    if as_json:
+        click.echo(json.dumps(seen))
+    elif not seen["fleet"]:
+        click.echo(f"{console}: knows no others: its settings have no section peers")
+    else:
+        until = "" if seen["share until s"] is None else f", for {seen['share until s']} s more"
+        click.echo(
+            f"fleet {seen['fleet']}: {seen['whole']}, {seen['alive']} alive; part {seen['share']} "
+            f"(own share {seen['own share']}): {seen['why']}{until}"
+        )
+        for row in seen["rows"]:
+            heard = "" if row["heard s ago"] is None else f"heard {row['heard s ago']} s ago"
+            known = f"{row['since s']:>8} s  {heard:<20} {row['known by']}"
+            click.echo(f"  {row['member']:<16} {row['state']:<10} {known}")
+    sys.exit(0 if seen["fleet"] and seen["whole"] == "whole" else 1)
+
+
+VERBS = [status, explain, top, members]
--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -10,6 +10,8 @@
 
 import click
 
+from ..rehearsal.report import told_of_fleet
+from ..rules import fleet
 from ..rules.checker import figures, judge
 from ..rules.records import RecordFault, read
 from ..settings.days import check_day, check_playable
@@ -103,11 +105,20 @@
         click.echo(f"the rehearsal failed: {problems[0]}\nits record: {folder}", err=True)
         sys.exit(3)
     faults = judge(read(folder), figures(found))
+    breaches = judged_fleet(folder, found)
     result = report(folder, found)
-    click.echo(to_json(result, faults) if as_json else text(result, faults))
+    click.echo(to_json(result, faults, breaches) if as_json else text(result, faults, breaches))
     if not as_json:
         click.echo(f"record: {folder}")
-    sys.exit(1 if faults else 0)
+    sys.exit(1 if faults or breaches else 0)
+
+
+def judged_fleet(folder, found) -> list[fleet.Breach] | None:
+    """What the record shows of the front ends as a fleet; None where they don't know each other."""
+    if not (found["fleet"].members or found["fleet_troubles"]):
+        return None
+    last_ms = found["day"].length_s * 1e3
+    return fleet.judge(read(folder), found["fleet_troubles"], found["fleet"].fronts, last_ms)
 
 
 @click.command(name="judge")
@@ -119,16 +130,19 @@
     try:
         found = check_day(str(plan), json.loads(plan.read_text())["day"])
         faults = judge(read(folder), figures(found))
+        breaches = judged_fleet(folder, found)
     except (OSError, ValueError, KeyError, SettingsFault, RecordFault) as error:
         click.echo(f"{folder}: {error}", err=True)
         sys.exit(2)
     if as_json:
-        click.echo(json.dumps([f._asdict() for f in faults]))
+        click.echo(json.dumps([x._asdict() for x in (*faults, *(breaches or []))]))
     else:
         for f in faults:
             click.echo(f"rule {f.rule} at {f.at_ms / 1e3:.3f} s, {f.trigger}: {f.what}")
         click.echo("rules: all five kept" if not faults else f"RULES BROKEN: {len(faults)}")
-    sys.exit(1 if faults else 0)
+        for line in told_of_fleet(breaches):
+            click.echo(line)
+    sys.exit(1 if faults or breaches else 0)
 
 
 VERBS = [rehearse, judge_record]
--- a/petrelway/commands/standins.py
+++ b/petrelway/commands/standins.py
@@ -6,6 +6,8 @@
 
 import click
 
+from ..standin.straits import KINDS
+
 
 @click.group()
 def standin() -> None:
@@ -70,4 +72,41 @@
     _run(play_packages, folder)
 
 
+@standin.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+def straits(folder: str) -> None:
+    """The faulty network between front ends."""
+    from ..standin.narrows import play_straits
+
+    _run(play_straits, folder)
+
+
+@standin.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.argument("kind", type=click.Choice([*KINDS, "clear"]))
+@click.option("--some", default="", help="Front ends by number, as in 0,1,2; left out: all.")
+@click.option("--others", default="", help="Left out: all the rest.")
+@click.option("--for", "len_s", default=0.0, help="Seconds; 0: until it is cleared.")
+@click.option("--size", default=1.0, help="Share of the messages, or ms of delay.")
+@click.option("--extra", default=0.0, help="ms of jitter, of the second copy, of half a flap.")
+def strait(folder: str, kind: str, some: str, others: str, len_s: float, size: float, extra: float) -> None:
+    """Put a trouble between front ends of the rehearsal in FOLDER while it plays, or clear all."""
+    from ..standin.narrows import ask
+
+    try:
+        asked = {
+            "some": [int(n) for n in some.split(",") if n],
+            "others": [int(n) for n in others.split(",") if n],
+        }
+    except ValueError as error:
+        raise click.UsageError(f"--some, --others: {error}; allowed: numbers, as in 0,1,2") from error
+    try:
+        answer = ask(folder, {"kind": kind, **asked, "len_s": len_s, "size": size, "extra": extra})
+    except (OSError, KeyError, ValueError) as error:
+        click.echo(f"{folder}: {error!r}", err=True)
+        raise SystemExit(1) from error
+    click.echo(answer["said"])
+    raise SystemExit(0 if answer["done"] else 2)
+
+
 VERBS = [standin]
--- a/petrelway/console/pages.py
+++ b/petrelway/console/pages.py
@@ -115,6 +115,16 @@
     return d.own_state()
 
 
+def members(d: Any, asked: dict[str, str]) -> Generator[None, None, dict[str, Any]]:
+    """The whole fleet as this front end sees it: who is there, how it knows, which part it holds."""
+    yield
+    if d.fleet is None:
+        return {**_paged([], asked), "fleet": ""}
+    seen = d.fleet.members_seen()
+    yield
+    return {**seen, **_paged(seen["rows"], asked)}
+
+
 def live(d: Any) -> dict[str, Any]:
     """The few figures that are sent each second."""
     now, t = d.now(), d.telemetry
@@ -155,5 +165,6 @@
     "functions": functions,
     "triggers": triggers,
     "changes": changes,
+    "members": members,
     "own": own,
 }
--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -38,8 +38,9 @@
         process: str = "",
         spent: Callable[[], float] = time.perf_counter,
         lines: Lines | None = None,
+        note: Callable[..., Any] | None = None,
     ) -> None:
-        super().__init__(reactor, found, log, kind, meter, process)
+        super().__init__(reactor, found, log, kind, meter, process, note)
         self.name = found["front_end"].name
         self.spent, self.lines = spent, lines
         self.console: Console | None = None
--- /dev/null
+++ b/petrelway/emulator/sea.py
@@ -0,0 +1,111 @@
+"""Members in simulated time: the program's own `Members` and `Parts` around a faulty network, without
+bytes."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from ..fleet.members import Decision, Members, Verb
+from ..fleet.parts import Parts
+from ..fleet.words import Word, digest, write
+from ..standin.memory import Process, World
+from ..standin.straits import Straits
+
+DIAL_MS = 0.5  # there and back on an idle network
+
+
+class Peer:
+    """One process of a member."""
+
+    def __init__(self, sea: Sea, number: int, process: Process, token: int) -> None:
+        self.sea, self.number, self.process = sea, number, process
+        now = sea.now()
+        me, others = sea.ids[number], [id for i, id in enumerate(sea.ids) if i != number]
+        self.members = Members(
+            now, me, token, sea.fleet, others, random.Random(f"{sea.seed}/{number}/{token}")
+        )
+        self.parts = Parts(now, len(sea.ids))
+        self.listener: Callable[[Peer], None] | None = None  # after each turn
+        self.wake = None
+        self.pull()
+
+    def heard(self, sender: int, word: Word) -> None:
+        self.members.heard(self.sea.now(), sender, word)
+        self.pull()
+
+    def _woken(self) -> None:
+        self.members.time_passed(self.sea.now())
+        self.pull()
+
+    def pull(self) -> None:
+        now = self.sea.now()
+        while (d := self.members.decide(now)) is not None:
+            if d.verb is Verb.WAKE:
+                if self.wake is not None and self.wake.active():
+                    self.wake.cancel()
+                self.wake = self.process.callLater((d.ms - now) / 1e3, self._woken)
+            else:
+                self.sea.carry_out(self, d)
+        if self.listener is not None:
+            self.listener(self)
+
+
+class Sea:
+    """All members' processes and the ways between them. `number` counts the members from 0."""
+
+    def __init__(self, sim: World, straits: Straits, size: int, seed: int = 0, way_ms: float = 0.5) -> None:
+        self.sim, self.straits, self.seed, self.way_ms = sim, straits, seed, way_ms
+        self.ids = [digest(f"front-{i}") for i in range(size)]
+        self.numbers = {id: i for i, id in enumerate(self.ids)}
+        self.fleet = digest("emulated")
+        self.peers: dict[int, Peer] = {}
+        self.counts: Counter[str] = Counter()
+        self.tokens = random.Random(f"{seed}/tokens")
+
+    def now(self) -> float:
+        return self.sim.now_s * 1e3
+
+    def start(self, number: int, process: Process | None = None) -> Peer:
+        process = process or Process(self.sim, f"front-{number}")
+        self.peers[number] = peer = Peer(self, number, process, self.tokens.randrange(1, 1 << 32))
+        return peer
+
+    def kill(self, number: int) -> None:
+        self.peers.pop(number).process.kill()
+
+    def carry_out(self, peer: Peer, d: Decision) -> None:
+        to = self.numbers[d.member]
+        if d.verb is Verb.TRY:
+            self._try(peer, to)
+            return
+        self.counts["datagrams"] += 1
+        self.counts["bytes"] += len(write(d.word))
+        for late_ms in self.straits.carry(self.now(), peer.number, to):
+            self.sim.later((self.way_ms + late_ms) / 1e3, self._arrive, peer.number, to, d.word)
+
+    def _arrive(self, sender: int, to: int, word: Word) -> None:
+        if (peer := self.peers.get(to)) is not None:
+            peer.process.run(peer.heard, self.ids[sender], word)
+
+    def _try(self, peer: Peer, to: int) -> None:
+        """A refusal comes back; what is cut off, stopped or there says nothing of the kind."""
+        began = self.now()
+        self.counts["tries"] += 1
+        there_ms = self.straits.late_ms(began, peer.number, to) + DIAL_MS / 2
+
+        def there() -> None:
+            now = self.now()
+            if to in self.peers or self.straits.is_cut(began, peer.number, to):
+                return
+            if self.straits.is_cut(now, to, peer.number):
+                return
+            back_ms = self.straits.late_ms(now, to, peer.number) + DIAL_MS / 2
+            self.sim.later(back_ms / 1e3, peer.process.run, self._refused, peer, to, began)
+
+        self.sim.later(there_ms / 1e3, there)
+
+    def _refused(self, peer: Peer, to: int, began: float) -> None:
+        peer.members.tried(self.now(), self.ids[to], began, True)
+        peer.pull()
--- /dev/null
+++ b/petrelway/fleet/members.py
@@ -0,0 +1,444 @@
+"""Who is there, pure: SWIM with suspicion, starts, and Lifeguard's local health; clock and chance handed in.
+
+How to call it: tell it what happens (`heard`, `tried`), then call `decide(now)` until it gives None and carry
+each decision out. Times are ms of a clock that never steps back. The table of states is in docs/fleet.md;
+sources: Das, Gupta and Motivala 2002 (SWIM), Dadgar, Phillips and Currey 2017 (Lifeguard)."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter, deque
+from enum import Enum
+from typing import NamedTuple
+
+from .words import NEWS, NEWS_MOST, Kind, News, Start, State, Word, digest
+
+TICK_MS = 100.0  # it looks at its clock this often, so that it notices when it stood still
+PERIOD_MS = 1000.0  # one member is asked in this time
+ACK_MS = 500.0  # an ask without an answer by then: others are asked to ask, and its port is tried ...
+PROBE_MS = 2000.0  # ... and without any by then it is suspected
+HELPERS = 3  # that are asked to ask
+SUSPECT_MS = 3000.0  # a suspicion that enough others share lasts this, times log10 of the members ...
+SUSPECT_MOST = 3.0  # ... and one that nobody shares so many times that
+SHARED_BY = 3  # others that share it, for the shortest
+EARS_MS = 3000.0  # one heard so lately is not failed on another's word
+HEALTH_MOST = 8  # own time-outs grow by one for each ask that failed, each accusation and each stall
+STALL_MS = 400.0  # a turn that comes this late: this process itself stood still
+ALONE_MS = 5000.0  # nobody heard for so long: cut off
+DOUBT_MS = 3000.0  # after a stall or an accusation it doubts its own view for this time
+KNOCKS = 8  # asks a period to those unheard yet; one a period to those failed
+TRIES_PER_S = 20.0  # ports tried, whatever the number of members
+TRY_AGAIN_MS = 1500.0  # the same port not more often than this
+SWEEP_MS = 4000.0  # after a refusal every port of one not heard is tried for this time: many may have died
+TOLD_TIMES = 3.0  # news is told so often, times log2 of the members
+ASKED_FOR_BOUND = 64  # asks for others at a time
+OVERS_BOUND = 16  # other processes under the own name that are remembered
+CHANGES_BOUND = 256  # changes that wait to be said
+
+
+class Whole(Enum):
+    """What the view is worth."""
+
+    WHOLE = "whole"  # each listed member is alive, has left, or is proved dead
+    IN_DOUBT = "in doubt"  # of some it can't be told, or this member doubts itself
+    CUT_OFF = "cut off"  # nobody is heard
+
+
+class Verb(Enum):
+    TELL = "tell"  # send `word` to `member`
+    TRY = "try"  # dial the member's port and say whether it was refused
+    WAKE = "wake"  # call again at `ms`
+
+
+class Decision(NamedTuple):
+    verb: Verb
+    member: int = 0
+    word: Word | None = None
+    ms: float = 0.0
+
+
+class Change(NamedTuple):
+    """Something changed for an operator; `member` 0 for this one itself."""
+
+    member: int
+    what: str
+    why: str
+
+
+class Member:
+    """What is known of one listed peer."""
+
+    def __init__(self, id: int, now: float) -> None:
+        self.id, self.start, self.state, self.since_ms = id, Start(0, 0), State.UNHEARD, now
+        self.heard_ms = self.refused_ms = self.tried_ms = -math.inf
+        self.begun_ms, self.doubters = now, set[int]()  # of the suspicion
+        self.peers = self.view = 0  # its digests, as last heard; 0: none
+        self.why = ""
+
+
+class Probe:
+    """One ask that waits for its answer."""
+
+    def __init__(self, member: Member, began_ms: float) -> None:
+        self.member, self.began_ms, self.helped = member, began_ms, False
+
+
+class Members:
+    """One member's view of all."""
+
+    def __init__(
+        self, now: float, me: int, token: int, fleet: int, peers: list[int], chance: random.Random
+    ) -> None:
+        """`peers` are the others' ids. `token` names this process among all that ever had its name."""
+        self.me, self.start, self.fleet, self.chance = me, Start(1, token), fleet, chance
+        self.others = {id: Member(id, now) for id in sorted(peers)}
+        self.peers = digest(*map(str, sorted([me, *peers])))
+        self.view = 0
+        for m in self.others.values():
+            self.view ^= _digest(m.id, m.start, m.state)
+        self.view ^= _digest(me, self.start, State.ALIVE)
+        size = len(peers) + 1
+        self.suspect_ms = SUSPECT_MS * max(1.0, math.log10(size))
+        self.told_times = math.ceil(TOLD_TIMES * math.log2(size + 1))
+        self.began_ms = self.turned_ms = self.period_ms = now
+        self.last_heard_ms = self.accused_ms = self.stalled_ms = self.swept_ms = -math.inf
+        self.health = self.stalls = 0
+        self.yielded = False  # another process has this name, and keeps it
+        self.overs: dict[int, int] = {}  # token of another process under this name -> incarnation outdone
+        self.number = chance.randrange(1 << 31)
+        self.probes: dict[int, Probe] = {}  # by the ask's number
+        self.asked_for: dict[
+            int, tuple[int, int, int, float]
+        ] = {}  # number -> who asked, its number, whom, till
+        self.told: dict[int, int] = {}  # news of these members -> how often told
+        self.turn: list[int] = []  # whom to ask next
+        self.cursor = 0
+        self.room = 1.0  # tries that are earned
+        self.due_ms, self.waking = -math.inf, False  # when to look next, and whether the host knows
+        self.out: deque[Decision] = deque()
+        self.changes: deque[Change] = deque(maxlen=CHANGES_BOUND)
+        self.counts: Counter[str] = Counter()
+
+    # -- inputs
+
+    def heard(self, now: float, sender: int, word: Word) -> None:
+        """A word came from the address of the listed member `sender`."""
+        self._turned(now)
+        m = self.others.get(sender)
+        if m is None or word.fleet != self.fleet or word.sender != sender:
+            self.counts[
+                "another fleet" if m is not None and word.sender == sender else "no peer's address"
+            ] += 1
+            return
+        if word.start < m.start:  # a late word, or a process that does not know of an earlier one of its name
+            self.counts["older start"] += 1
+            if word.kind is Kind.ASK:
+                self._tell(Kind.HERE, m, word.number)
+            return
+        self.counts["heard"] += 1
+        m.heard_ms = self.last_heard_ms = now
+        m.refused_ms = -math.inf  # it is there: what was proved is over
+        m.peers, m.view = word.peers, word.view
+        if word.kind is Kind.LEAVING:
+            self._hold(m, word.start, State.LEFT, now, "said that it leaves")
+            return
+        if word.start > m.start or m.state is State.UNHEARD:
+            again = m.start.token not in (0, word.start.token)
+            self._hold(m, word.start, State.ALIVE, now, "started again" if again else "heard")
+        for news in word.news:
+            self._news(news, m, now)
+        if word.kind is Kind.ASK:
+            self._tell(Kind.HERE, m, word.number)
+        elif word.kind is Kind.ASK_FOR_ME:
+            self._ask_for(m, word, now)
+        elif word.kind is Kind.HERE and (asked := self.asked_for.pop(word.number, None)) is not None:
+            who, number, whom, _ = asked
+            if whom == sender and who in self.others:
+                self._tell(Kind.HERE_TOO, self.others[who], number, whom)
+        elif word.kind is Kind.HERE_TOO:
+            probe = self.probes.get(word.number)
+            if probe is not None and probe.member.id == word.about:
+                self._answered(word.number)
+
+    def tried(self, now: float, member: int, began_ms: float, refused: bool) -> None:
+        """The end of a try of its port. Refused: no process has it, and whoever starts there waits
+        (parts.py)."""
+        self._turned(now)
+        m = self.others.get(member)
+        if m is None or not refused or m.heard_ms >= began_ms:
+            return
+        m.refused_ms = self.swept_ms = max(m.refused_ms, began_ms)
+        if m.state is not State.LEFT:
+            self._hold(m, m.start, State.FAILED, now, "its port refuses: the process is gone")
+
+    def time_passed(self, now: float) -> None:
+        """The wake that was asked for. Danger: one that comes a hair early would be the last."""
+        self.waking = False
+
+    # -- decisions
+
+    def decide(self, now: float) -> Decision | None:
+        """The next thing to do, or None."""
+        self._turned(now)
+        if now >= self.due_ms:
+            self._look(now)
+            self.due_ms, self.waking = now + TICK_MS, False
+        if self.out:
+            return self.out.popleft()
+        if not self.waking:
+            self.waking = True
+            return Decision(Verb.WAKE, ms=self.due_ms)
+        return None
+
+    def whole(self, now: float) -> Whole:
+        if not self.others:
+            return Whole.WHOLE
+        if now - max(self.last_heard_ms, self.began_ms) > ALONE_MS and not self._all_proved(now):
+            return Whole.CUT_OFF
+        if self.yielded or now < max(self.stalled_ms, self.accused_ms) + DOUBT_MS:
+            return Whole.IN_DOUBT
+        for m in self.others.values():
+            unlike = m.state is State.ALIVE and m.peers not in (0, self.peers)
+            if unlike or m.state not in (State.ALIVE, State.LEFT) and not proved(m, now):
+                return Whole.IN_DOUBT
+        return Whole.WHOLE
+
+    def _all_proved(self, now: float) -> bool:
+        return all(proved(m, now) for m in self.others.values())
+
+    def leave(self) -> list[Decision]:
+        """The words of one that has stopped using anything: to a few, who pass it on."""
+        alive = [m for m in self.others.values() if m.state is State.ALIVE]
+        some = self.chance.sample(alive, min(len(alive), 3 * HELPERS))
+        for m in some:
+            self._tell(Kind.LEAVING, m, 0)
+        done, self.out = list(self.out), deque()
+        return [d for d in done if d.word is not None and d.word.kind is Kind.LEAVING]
+
+    # -- what passes in a turn
+
+    def _turned(self, now: float) -> None:
+        """Danger: one that stood still finds all answers overdue, and would accuse every other member."""
+        gap, self.turned_ms = now - self.turned_ms, now
+        if gap <= TICK_MS + STALL_MS:
+            return
+        self.stalled_ms, self.stalls = now, self.stalls + 1
+        self.health = min(HEALTH_MOST, self.health + 1)
+        self.probes.clear()
+        for m in self.others.values():
+            m.begun_ms += gap * (m.state is State.SUSPECTED)
+        self.period_ms += gap
+        self.changes.append(Change(0, "stood still", f"{gap:.0f} ms between two turns"))
+
+    def _look(self, now: float) -> None:
+        slower = 1.0 + self.health
+        for number, probe in list(self.probes.items()):
+            m, age = probe.member, now - probe.began_ms
+            if m.heard_ms >= probe.began_ms:
+                self._answered(number)
+            elif age >= PROBE_MS * slower:
+                del self.probes[number]
+                self.health = min(HEALTH_MOST, self.health + 1)
+                if self.last_heard_ms >= probe.began_ms:  # else it may be this one that is cut off
+                    self._suspect(m, self.me, now, "no answer, to others neither")
+            elif age >= ACK_MS * slower and not probe.helped:
+                probe.helped = True
+                self._tell(Kind.ASK, m, number)
+                alive = [x for x in self.others.values() if x.state is State.ALIVE and x is not m]
+                for helper in self.chance.sample(alive, min(HELPERS, len(alive))):
+                    self._tell(Kind.ASK_FOR_ME, helper, number, m.id)
+        for number in [n for n, asked in self.asked_for.items() if now > asked[3]]:
+            del self.asked_for[number]
+        for m in self.others.values():
+            if m.state is State.SUSPECTED and now >= self._suspected_till(m):
+                if m.heard_ms > m.begun_ms:  # our own ears say otherwise: it has not heard the accusation yet
+                    m.begun_ms, m.doubters = now, set()
+                elif self.last_heard_ms > m.begun_ms:  # danger: one that is cut off would fail all others
+                    self._hold(m, m.start, State.FAILED, now, "suspected, and did not answer in time")
+        self._try_ports(now)
+        if now >= self.period_ms:
+            self.period_ms = max(now, self.period_ms + PERIOD_MS * slower)
+            self._ask_next(now)
+
+    def _ask_next(self, now: float) -> None:
+        while self.turn:
+            m = self.others[self.turn.pop()]
+            if m.state in (State.ALIVE, State.SUSPECTED):
+                self.number = self.number + 1 & 0xFFFFFFFF
+                self.probes[self.number] = Probe(m, now)
+                self._tell(Kind.ASK, m, self.number)
+                break
+        if not self.turn:
+            self.turn = [m.id for m in self.others.values() if m.state in (State.ALIVE, State.SUSPECTED)]
+            self.chance.shuffle(self.turn)
+        unheard = [m for m in self.others.values() if m.state is State.UNHEARD]
+        lost = [m for m in self.others.values() if m.state in (State.FAILED, State.SUSPECTED)]
+        for some, most in ((unheard, KNOCKS), (lost, 1)):
+            for m in self.chance.sample(some, min(most, len(some))):
+                self._tell(Kind.ASK, m, 0)
+
+    def _try_ports(self, now: float) -> None:
+        """Silence proves nothing, a refused port does. Danger: after seven in ten died at once, to ask one a
+        second would take a minute; a refusal has all that are not heard tried."""
+        self.room = min(4.0, self.room + TRIES_PER_S * TICK_MS / 1e3)
+        waits = {p.member.id for p in self.probes.values() if p.helped}
+        sweeps = now < self.swept_ms + SWEEP_MS
+        due = [
+            m
+            for m in self.others.values()
+            if now >= m.tried_ms + TRY_AGAIN_MS
+            and (
+                m.state > State.ALIVE
+                or m.id in waits
+                or sweeps
+                and now > m.heard_ms + PERIOD_MS
+                or m.state is State.UNHEARD
+                and now > self.began_ms + ALONE_MS
+            )
+        ]
+        due.sort(key=lambda m: m.tried_ms)
+        for m in due[: int(self.room)]:
+            self.room -= 1.0
+            m.tried_ms = now
+            self.out.append(Decision(Verb.TRY, m.id))
+
+    def _answered(self, number: int) -> None:
+        del self.probes[number]
+        self.health = max(0, self.health - 1)
+
+    def _ask_for(self, who: Member, word: Word, now: float) -> None:
+        m = self.others.get(word.about)
+        if m is None or len(self.asked_for) >= ASKED_FOR_BOUND:
+            self.counts["not asked for"] += 1
+            return
+        self.number = self.number + 1 & 0xFFFFFFFF
+        self.asked_for[self.number] = who.id, word.number, m.id, now + PROBE_MS
+        self._tell(Kind.ASK, m, self.number)
+
+    # -- what is believed
+
+    def _hold(self, m: Member, start: Start, state: State, now: float, why: str) -> None:
+        """The one place where a member's state changes."""
+        before = m.state
+        if start == m.start and state is before:
+            return
+        self.view ^= _digest(m.id, m.start, before) ^ _digest(m.id, start, state)
+        m.start, m.state = start, state
+        self.told[m.id] = 0
+        if state is State.SUSPECTED:
+            m.begun_ms, m.doubters = now, set()
+        if state is not before or why == "started again":
+            m.since_ms, m.why = now, why
+            self.changes.append(Change(m.id, state.name.lower(), why))
+
+    def _suspect(self, m: Member, by: int, now: float, why: str) -> None:
+        if m.state is State.ALIVE:
+            self._hold(m, m.start, State.SUSPECTED, now, why)
+        if m.state is State.SUSPECTED and by != self.me and len(m.doubters) < SHARED_BY:
+            m.doubters.add(by)
+
+    def _suspected_till(self, m: Member) -> float:
+        shared = math.log(len(m.doubters) + 1) / math.log(SHARED_BY + 1)
+        return m.begun_ms + self.suspect_ms * (SUSPECT_MOST - (SUSPECT_MOST - 1.0) * shared)
+
+    def _news(self, news: News, sender: Member, now: float) -> None:
+        if news.member == self.me:
+            self._told_of_me(news, now)
+            return
+        m = self.others.get(news.member)
+        if m is None:
+            self.counts["news of one not listed"] += 1
+            return
+        if news.start < m.start or news.state is State.UNHEARD:
+            return
+        why = "another says so"
+        if news.start > m.start:
+            heard = news.state is State.SUSPECTED
+            self._hold(m, news.start, State.ALIVE if heard else news.state, now, why)
+        if news.state is State.SUSPECTED:
+            self._suspect(m, sender.id, now, why)
+        elif news.state is State.FAILED and m.state < State.FAILED:
+            if now < m.heard_ms + EARS_MS:
+                self._suspect(m, sender.id, now, why)
+            else:
+                self._hold(m, news.start, State.FAILED, now, why)
+        elif news.state is State.LEFT:
+            self._hold(m, news.start, State.LEFT, now, why)
+
+    def _told_of_me(self, news: News, now: float) -> None:
+        """An accusation is answered by a later start of the same process; another process's start as well,
+        but only once it has proved to be alive the one with the lower token yields: neither flaps."""
+        if news.start.token == self.start.token:
+            if news.start >= self.start and news.state in (State.SUSPECTED, State.FAILED):
+                self.accused_ms = now
+                self.health = min(HEALTH_MOST, self.health + 1)
+                self._start_above(news.start.incarnation)
+            return
+        if news.start < self.start or self.yielded:
+            return
+        outdone = self.overs.get(news.start.token)
+        if outdone is not None and news.start.incarnation > outdone:  # it has answered: it lives
+            if not self.counts["two processes"]:
+                self.changes.append(Change(0, "two processes", "another one runs under this name"))
+            self.counts["two processes"] += 1
+            if news.start.token > self.start.token:
+                self.yielded = True
+                self.changes.append(Change(0, "yielded", "the other process keeps the name"))
+                return
+        if outdone is not None or len(self.overs) < OVERS_BOUND:
+            self.overs[news.start.token] = news.start.incarnation
+            self._start_above(news.start.incarnation)
+
+    def _start_above(self, incarnation: int) -> None:
+        before = self.start
+        self.start = Start(min(incarnation + 1, 0xFFFFFFFF), before.token)
+        self.view ^= _digest(self.me, before, State.ALIVE) ^ _digest(self.me, self.start, State.ALIVE)
+        self.told[self.me] = 0
+
+    # -- words
+
+    def _tell(self, kind: Kind, to: Member, number: int, about: int = 0) -> None:
+        word = Word(
+            kind, self.fleet, self.me, self.start, self.peers, self.view, number, about, self._pick(to)
+        )
+        self.counts["told"] += 1
+        self.out.append(Decision(Verb.TELL, to.id, word))
+
+    def _pick(self, to: Member) -> tuple[News, ...]:
+        """First what is held against the one who reads, then what was told least, then, where the views
+        differ, all in turn: news can be lost, and a fleet that was cut in two has to compare everything."""
+        some = {to.id: None} if to.state not in (State.ALIVE, State.UNHEARD) or to.start.incarnation else {}
+        for id in sorted(self.told, key=self.told.__getitem__)[: NEWS_MOST - len(some)]:
+            if id not in some:
+                some[id] = None
+            self.told[id] += 1
+            if self.told[id] >= self.told_times:
+                del self.told[id]
+        if to.view != self.view:
+            ids = list(self.others)
+            for _ in range(min(len(ids), NEWS_MOST)):
+                if len(some) >= NEWS_MOST:
+                    break
+                self.cursor = (self.cursor + 1) % len(ids)
+                if self.others[ids[self.cursor]].state is not State.UNHEARD:
+                    some[ids[self.cursor]] = None
+        return tuple(self._said(id) for id in list(some)[:NEWS_MOST])
+
+    def _said(self, id: int) -> News:
+        if id == self.me:
+            return News(id, self.start, State.ALIVE)
+        m = self.others[id]
+        return News(id, m.start, m.state)
+
+
+PROOF_MS = 5000.0  # a refused port proves for so long that nobody uses the share of its name
+
+
+def proved(m: Member, now: float) -> bool:
+    """Whether it is certain now that no process uses this member's share."""
+    return now < m.refused_ms + PROOF_MS
+
+
+def _digest(id: int, start: Start, state: State) -> int:
+    return digest(NEWS.pack(id, *start, state).hex())
--- /dev/null
+++ b/petrelway/fleet/service.py
@@ -0,0 +1,269 @@
+"""Membership on sockets: datagrams to the peers, and a port that refuses once the process is gone.
+
+Only I/O stands here; what is believed and what follows from it is in members.py and parts.py. The port is
+listened on before anything of the fleet's is used and closed after the last use: that a refusal proves the
+process gone rests on it."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from twisted.application import service
+from twisted.internet import error, interfaces, protocol
+
+from ..interface import Part
+from .members import Members, Verb, Whole
+from .parts import Held, Parts
+from .words import Start, State, WordFault, digest, read, write
+
+DIAL_S = 2.0  # a try that has not ended by then says nothing
+CALLERS_BOUND = 64  # connections at the port at a time; more are closed at once
+CALLER_S = 5.0  # and each is closed after this time
+REASONS_BOUND = 32  # reasons for dropped datagrams that are logged
+
+
+class Listed(NamedTuple):
+    """A line of the list of peers."""
+
+    name: str
+    address: str
+    port: int
+
+
+class Caller(protocol.Protocol):
+    """Somebody looks whether this process is there. Nothing is said."""
+
+    def connectionMade(self) -> None:
+        self.factory.callers += 1
+        if self.factory.callers > CALLERS_BOUND:
+            self.transport.abortConnection()
+        else:
+            self.timer = self.factory.reactor.callLater(CALLER_S, self.transport.abortConnection)
+
+    timer = None
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:
+        self.factory.callers -= 1
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
+class Callers(protocol.Factory):
+    noisy, protocol = False, Caller
+
+    def __init__(self, reactor) -> None:
+        self.reactor, self.callers = reactor, 0
+
+
+class Dial(protocol.ClientFactory):
+    """One try of a peer's port."""
+
+    noisy = False
+
+    def __init__(self, done: Callable[[bool], None]) -> None:
+        self.done = done
+
+    def buildProtocol(self, address):
+        made = protocol.Protocol()
+        made.connectionMade = lambda: made.transport.abortConnection()
+        self.done(False)
+        return made
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        """Danger: silence, a reset or a missing way are no proof; only a refusal is."""
+        self.done(bool(reason.check(error.ConnectionRefusedError)))
+
+
+class Datagrams(protocol.DatagramProtocol):
+    noisy = False
+
+    def __init__(self, came: Callable[[bytes, tuple[str, int]], None]) -> None:
+        self.came = came
+
+    def datagramReceived(self, data: bytes, address: tuple[str, int]) -> None:
+        self.came(data, address)
+
+
+class FleetService(service.Service):
+    """One front end among its peers."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        me: Listed,
+        fleet: str,
+        peers: list[Listed],
+        chance: random.Random,
+        log,
+        told: Callable[[Part], None],
+        note: Callable[..., Any] | None = None,
+    ) -> None:
+        """`told` hears the part after each turn; `note` writes a rehearsal's record."""
+        self.reactor, self.me, self.fleet, self.chance = reactor, me, fleet, chance
+        self.log, self.told, self.note = log, told, note
+        self.peers = {digest(p.name): p for p in peers if p.name != me.name}
+        self.at = {(p.address, p.port): id for id, p in self.peers.items()}
+        self.counts: Counter[str] = Counter()
+        self.tcp = self.udp = self.wake = None
+        self.whole: Whole | None = None
+        self.held: Held | None = None
+
+    def now(self) -> float:
+        return self.reactor.seconds() * 1e3
+
+    def startService(self) -> None:
+        """Raises twisted.internet.error.CannotListenError if the port is taken."""
+        self.tcp = self.reactor.listenTCP(self.me.port, Callers(self.reactor), interface=self.me.address)
+        self.datagrams = Datagrams(self._came)
+        try:
+            self.udp = self.reactor.listenUDP(self.me.port, self.datagrams, interface=self.me.address)
+        except error.CannotListenError:
+            self.tcp.stopListening()
+            raise
+        now = self.now()
+        token = self.chance.randrange(1, 1 << 32)
+        self.members = Members(
+            now, digest(self.me.name), token, digest(self.fleet), list(self.peers), self.chance
+        )
+        self.parts = Parts(now, len(self.peers) + 1)
+        super().startService()
+        self._turn()
+
+    def _came(self, data: bytes, address: tuple[str, int]) -> None:
+        sender = self.at.get(address)
+        try:
+            if sender is None:
+                raise WordFault("no peer's address")
+            word = read(data)
+        except WordFault as fault:
+            self._dropped(str(fault), address)
+            return
+        self.members.heard(self.now(), sender, word)
+        self._turn()
+
+    def _dropped(self, why: str, address: tuple[str, int]) -> None:
+        self.counts[why] += 1
+        if self.counts[why] == 1 and len(self.counts) <= REASONS_BOUND:
+            self.log.warning("datagram dropped", why=why, address="{}:{}".format(*address))
+
+    def _woken(self) -> None:
+        self.members.time_passed(self.now())
+        self._turn()
+
+    def _turn(self) -> None:
+        """Pull decisions until there is none, then tell what follows."""
+        now = self.now()
+        while (d := self.members.decide(now)) is not None:
+            if d.verb is Verb.TELL:
+                self._send(d)
+            elif d.verb is Verb.TRY:
+                self._try(d.member, now)
+            else:
+                if self.wake is not None and self.wake.active():
+                    self.wake.cancel()
+                self.wake = self.reactor.callLater(max(0.0, d.ms - now) / 1e3, self._woken)
+        held = self.parts.held(self.members, now)
+        self.told(held.part)
+        self._say(now, held)
+
+    def _send(self, decision) -> None:
+        peer = self.peers[decision.member]
+        try:
+            self.datagrams.transport.write(write(decision.word), (peer.address, peer.port))
+        except OSError as problem:  # no way there at this moment: as if it were lost
+            self._dropped(f"not sent: {problem.strerror}", (peer.address, peer.port))
+
+    def _try(self, member: int, began_ms: float) -> None:
+        peer = self.peers[member]
+
+        def done(refused: bool) -> None:
+            if self.running:
+                self.members.tried(self.now(), member, began_ms, refused)
+                self._turn()
+
+        self.reactor.connectTCP(peer.address, peer.port, Dial(done), timeout=DIAL_S)
+
+    # -- what is said
+
+    def _say(self, now: float, held: Held) -> None:
+        """One event a change."""
+        while self.members.changes:
+            member, what, why = self.members.changes.popleft()
+            name = self.peers[member].name if member else self.me.name
+            loud = {
+                "stood still": "warning",
+                "two processes": "error",
+                "yielded": "error",
+                "failed": "warning",
+            }
+            getattr(self.log, loud.get(what, "info"))(f"member {what}", member=name, why=why)
+            if self.note is not None:
+                self.note("held", member=name, what=what, why=why)
+        whole = self.members.whole(now)
+        if whole is not self.whole:
+            self.log.info("fleet " + whole.value, before=self.whole.value if self.whole else "")
+            if self.note is not None:
+                self.note("whole", whole=whole.value)
+        before, self.whole, self.held = self.held, whole, held
+        if before is None or (before.part.share, before.why) != (held.part.share, held.why):
+            self.log.info("part held", share=round(held.part.share, 4), why=held.why, dead=held.dead)
+        if self.note is not None and (before is None or before.part != held.part):
+            left = round(held.part.until_ms - now, 3) if held.part.until_ms < math.inf else None
+            self.note("part", share=held.part.share, left=left, dead=held.dead)
+
+    def members_seen(self) -> dict[str, Any]:
+        """For operators; spans in s."""
+        now, m = self.now(), self.members
+        rows = [_row(self.me.name, "this one", now - m.began_ms, 0.0, m.start, "itself")]
+        for id, peer in sorted(self.peers.items(), key=lambda item: item[1].name):
+            x = m.others[id]
+            heard_ms = now - x.heard_ms
+            rows.append(_row(peer.name, x.state.name.lower(), now - x.since_ms, heard_ms, x.start, x.why))
+        held, size = self.held, self.parts.size
+        left_ms = held.part.until_ms - now
+        return {
+            "fleet": self.fleet,
+            "whole": m.whole(now).value,
+            "view": f"{m.view:08x}",
+            "share": round(held.part.share, 4),
+            "own share": round(1.0 / size, 4),
+            "share until s": round(left_ms / 1e3, 1) if left_ms < math.inf else None,
+            "why": held.why,
+            "stands for dead": held.dead,
+            "stood still": m.stalls,
+            "own health": m.health,
+            "alive": 1 + sum(x.state is State.ALIVE for x in m.others.values()),
+            "counts": dict(sorted((m.counts + self.counts).items())),
+            "rows": rows,
+        }
+
+    # -- the end
+
+    def leaving(self) -> None:
+        """What this process held is used no more: say so, and only then let the port refuse."""
+        for d in self.members.leave():
+            self._send(d)
+
+    def stopService(self):
+        """After the last use of the part."""
+        super().stopService()
+        self.leaving()
+        if self.wake is not None and self.wake.active():
+            self.wake.cancel()
+        self.udp.stopListening()
+        return self.tcp.stopListening()
+
+
+def _row(name: str, state: str, since_ms: float, heard_ms: float, start: Start, why: str) -> dict[str, Any]:
+    return {
+        "member": name,
+        "state": state,
+        "since s": round(since_ms / 1e3, 1),
+        "heard s ago": round(heard_ms / 1e3, 1) if heard_ms < math.inf else None,
+        "start": f"{start.incarnation}.{start.token:08x}",
+        "known by": why,
+    }
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -12,6 +12,7 @@
 
 from ..choice import FrontEnd
 from ..interface import ColdRule, Customer, Effect, Keeping, LoadRation, Permits, Place, Scope, Tariff
+from ..fleet.service import FleetService, Listed
 from .ask import Ask, Asks, Catalogue
 from .dialling import connector
 from .host import Answer, Function, Host
@@ -56,6 +57,23 @@
     )
 
 
+USES_APART_MS = 20.0  # uses of the same part are noted no more often
+
+
+def _note_uses(front_end: FrontEnd, note: Callable[..., Any]) -> None:
+    """Each use of the part in a decision, for a rehearsal's record: what was really gone by, and when."""
+    inner, last = front_end.gate.share, [-1.0, 0.0]
+
+    def share(now: float) -> float:
+        found = inner(now)
+        if found != last[0] or now >= last[1] + USES_APART_MS:
+            last[:] = found, now
+            note("use", share=found)
+        return found
+
+    front_end.gate.share = share
+
+
 class FrontEndService(service.Service):
     """Intake, host, links and the roster's follower of one front end."""
 
@@ -67,8 +85,11 @@
         kind: Callable[..., FrontEnd] = FrontEnd,
         meter: Callable[[], float] | None = None,
         process: str = "",
+        note: Callable[..., Any] | None = None,
     ) -> None:
+        """`note` writes a rehearsal's record of what the fleet's members held and used."""
         self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
+        self.note, self.fleet = note, None
         self.process = process or uuid.uuid4().hex[:12]
         self.port: interfaces.IListeningPort | None = None
 
@@ -93,6 +114,8 @@
             self.log,
             self.meter,
         )
+        if "peers" in found:
+            self._join(found["peers"], place.name)
         asks = Asks(
             {t.name: t.outer_ms for t in found["tariffs"]},
             [c.name for c in found["customers"]],
@@ -118,6 +141,23 @@
             "front end started", address=listen.address, port=self.port.getHost().port, process=process
         )
 
+    def _join(self, wanted, name: str) -> None:
+        """Before anything else is listened on or used: whoever finds the port refusing counts on it."""
+        host = self.host
+        self.fleet = FleetService(
+            self.reactor,
+            Listed(name, wanted.address, wanted.port),
+            wanted.fleet,
+            [Listed(m.name, m.address, m.port) for m in wanted.members],
+            random.SystemRandom(),  # the same seed under the same name would give two processes one token
+            self.log,
+            lambda part: host.front_end.part_told(host.now(), part),
+            self.note,
+        )
+        self.fleet.startService()
+        if self.note is not None and isinstance(host.front_end, FrontEnd):
+            _note_uses(host.front_end, self.note)
+
     def _take(self, ask: Ask, content_type: str, body: bytes) -> defer.Deferred[Answer]:
         return self.host.take(
             ask.tariff,
@@ -152,6 +192,8 @@
         yield self._flushed()
         self.follower.close()
         self.host.close()
+        if self.fleet is not None:
+            yield defer.maybeDeferred(self.fleet.stopService)
         self.log.info(
             "front end left",
             answered=owed,
--- a/petrelway/interface.py
+++ b/petrelway/interface.py
@@ -161,6 +161,14 @@
     share: float
 
 
+class Part(NamedTuple):
+    """So much of the fleet's rations is this front end's, until then; afterwards, and untold, its own
+    share."""
+
+    share: float
+    until_ms: float
+
+
 class Released(NamedTuple):
     """Indices that the module has forgotten for good; the host may use them anew."""
 
--- a/petrelway/rehearsal/baselines.py
+++ b/petrelway/rehearsal/baselines.py
@@ -81,7 +81,7 @@
     def order_answered(self, *_: object) -> None:
         pass
 
-    client_gone = time_passed = order_answered
+    client_gone = time_passed = part_told = order_answered
 
     def failed(self) -> int:
         return -1
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -15,7 +15,9 @@
 import psutil
 from twisted.internet import defer, error, protocol
 
+from ..standin.narrows import narrow
 from ..standin.parts import Plan
+from ..standin.script import late
 from .fronts import front_settings
 from .realworkers import write_packages, write_worker
 
@@ -93,6 +95,9 @@
     }
     if consoles:
         plan["ports"]["consoles"] = own.draw(fronts)
+    if tree.get("fleet_troubles") or tree["fleet"].get("members"):
+        plan["ports"]["peers"] = own.draw(fronts)
+        plan["ports"]["straits"], plan["ports"]["control"] = own.draw(2)
     (folder / "plan.json").write_text(json.dumps(plan))
 
 
@@ -102,13 +107,27 @@
     for i in range(plan.day["fleet"].fronts):
         log = {"file": str(plan.folder / f"front-{i}.log"), "level": level}
         files.append(plan.folder / f"front-{i}.json")
-        settings = front_settings(plan.day, tree, i, plan.ports["fronts"][i], plan.ports["roster"], log)
+        settings = front_settings(
+            plan.day, tree, i, plan.ports["fronts"][i], plan.ports["roster"], log, peers(plan, i)
+        )
         if consoles := plan.ports.get("consoles"):
             settings["console"] = {"port": consoles[i]}
         files[-1].write_text(json.dumps(settings, indent=1))
     return files
 
 
+def peers(plan: Plan, number: int) -> dict[str, Any] | None:
+    """The peers' section of one front end: it meets each of the others behind the faulty network."""
+    if not (ports := plan.ports.get("peers")):
+        return None
+    members = [
+        {"name": f"front-{i}", "address": narrow(number, i), "port": plan.ports["straits"]}
+        for i in range(len(ports))
+        if i != number
+    ]
+    return {"fleet": "rehearsed", "port": ports[number], "members": members}
+
+
 class Part(protocol.ProcessProtocol):
     """One process; its words go to a file."""
 
@@ -161,13 +180,11 @@
         self.front_cpu_s = 0.0
         self.calls: list = []
         self.workers: dict[int, Part] = {}
-        self.starts = 0
+        self.starts = self.front_starts = 0
 
     def _spawn(self, name: str, *words: str) -> Part:
         part = Part(name, self.folder)
-        self.reactor.spawnProcess(
-            part, sys.executable, [sys.executable, "-m", "petrelway", *words], env=None
-        )
+        self.reactor.spawnProcess(part, sys.executable, [sys.executable, "-m", "petrelway", *words], env=None)
         self.parts.append(part)
         part.ended.addCallback(self._ended, part)
         return part
@@ -175,14 +192,18 @@
     def _ended(self, how: str, part: Part) -> None:
         if how:
             self.failed.append(f"{part.name}: {how} (see {part.path.name})")
-        if self.fronts and part in self.fronts.values():
+        if part.name.startswith("front-"):
             self.front_cpu_s += part.cpu_s
+            self.record.note("front ended", fe=part.name)
 
     def _start_front(self, number: int) -> None:
         self.record.note("front started", fe=f"front-{number}")
-        self.fronts[number] = self._spawn(
-            f"front-{number}", "serve", str(self.files[number]), "--policy", self.policy, "--meter"
-        )
+        words = ["serve", str(self.files[number]), "--policy", self.policy, "--meter"]
+        if "peers" in self.plan.ports:
+            self.front_starts += 1
+            record = self.folder / f"fleet-{number}-{self.front_starts}.jsonl"
+            words += ["--record", str(record), "--epoch-ms", str(self.plan.epoch_ms)]
+        self.fronts[number] = self._spawn(f"front-{number}", *words)
 
     @defer.inlineCallbacks
     def play(self):
@@ -194,8 +215,11 @@
         else:
             for hall in range(len(day["fleet"].halls)):
                 self._spawn(f"executors-{hall}", "standin", "executors", str(self.folder), str(hall))
+        if "peers" in plan.ports:
+            self._spawn("straits", "standin", "straits", str(self.folder))
         for number in range(day["fleet"].fronts):
-            self._start_front(number)
+            if number not in late(day):
+                self._start_front(number)
         for number in range(day["traffic"].clients):
             self._spawn(f"clients-{number}", "standin", "clients", str(self.folder), str(number))
         others = [p.ended for p in self.parts if not p.name.startswith(("front", "executor-"))]
@@ -291,12 +315,16 @@
             part.transport.signalProcess(SIGNS[what])
 
     def _happen(self, number: int, what: str) -> None:
-        part = self.fronts[number]
+        part = self.fronts.get(number)
+        if what == "start":
+            if part is None or part.transport.pid is None:
+                self._start_front(number)
+            return
         self.record.note(what, fe=f"front-{number}")
-        if what == "kill":
-            self._end_front(part, "KILL")
-        elif what == "start":
-            self._start_front(number)
+        if part is None:
+            return
+        if what in ("kill", "leave"):
+            self._end_front(part, "KILL" if what == "kill" else "TERM")
         elif part.transport.pid is not None:
             part.transport.signalProcess(signal.SIGSTOP if what == "stop" else signal.SIGCONT)
 
--- a/petrelway/rehearsal/fronts.py
+++ b/petrelway/rehearsal/fronts.py
@@ -14,6 +14,7 @@
     port: int,
     roster_port: int,
     log: dict[str, str] | None = None,
+    peers: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """The settings of one front end of a day, as its file would say them."""
     fleet = day["fleet"]
@@ -32,6 +33,8 @@
         "functions": [*told, {"name": "once-*", "memory_mb": 300.0, "lanes": 4}],
         "log": log or {},
     }
+    if peers is not None:
+        settings["peers"] = peers
     for section in ("tariffs", "customers", "permits", "keeping", "cold", "ration"):
         if section in tree:
             settings[section] = tree[section]
--- a/petrelway/rehearsal/report.py
+++ b/petrelway/rehearsal/report.py
@@ -89,7 +89,17 @@
     }
 
 
-def text(found: dict[str, Any], faults: list) -> str:
+def told_of_fleet(breaches: list | None) -> list[str]:
+    """What is said of the front ends as a fleet; nothing where they don't know each other."""
+    if breaches is None:
+        return []
+    if not breaches:
+        return ["fleet: parts, ends, views: all kept"]
+    said = [f"  {b.statement} at {b.at_ms / 1e3:.3f} s, {b.who}: {b.what}" for b in breaches[:20]]
+    return [f"FLEET'S STATEMENTS BROKEN: {len(breaches)}", *said]
+
+
+def text(found: dict[str, Any], faults: list, breaches: list | None = None) -> str:
     """For a terminal."""
     lines = [
         f"triggers {found['triggers']}: {found['in_time']} in time, {found['late']} late, "
@@ -106,8 +116,12 @@
         lines += [f"  rule {f.rule} at {f.at_ms / 1e3:.3f} s, {f.trigger}: {f.what}" for f in faults[:20]]
     else:
         lines.append("rules: all five kept")
+    lines += told_of_fleet(breaches)
     return "\n".join(lines)
 
 
-def as_json(found: dict[str, Any], faults: list) -> str:
-    return msgspec.json.encode({**found, "broken_rules": [f._asdict() for f in faults]}).decode()
+def as_json(found: dict[str, Any], faults: list, breaches: list | None = None) -> str:
+    said = {**found, "broken_rules": [f._asdict() for f in faults]}
+    if breaches is not None:
+        said["broken_statements"] = [b._asdict() for b in breaches]
+    return msgspec.json.encode(said).decode()
--- a/petrelway/settings/days.py
+++ b/petrelway/settings/days.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, field
 
+from ..standin.straits import KINDS as STRAITS
 from .front import (
     ColdStart,
     Count,
@@ -52,6 +53,7 @@
     "far",
     "loss",
 )
+FLEET_KINDS = (*STRAITS, "kill", "stop", "leave", "late")
 EMULATED_ONLY = ("cut", "far", "loss")  # what the network does can't be played on one machine's loopback
 
 
@@ -79,6 +81,7 @@
     executors: Annotated[int, Meta(ge=1, le=10_000)]
     kinds: Annotated[list[MachineKind], Meta(min_length=1, max_length=20)]
     fronts: Annotated[int, Meta(ge=1, le=5_000)] = 3
+    members: bool = False  # front ends know each other; so they do on a day with fleet_troubles
     workers: bool = False  # real worker processes in place of the stand-in executors
     cell_size: Annotated[int, Meta(ge=1, le=500)] = 4
     loads_at_once: Annotated[int, Meta(ge=1, le=64)] = 4
@@ -158,6 +161,19 @@
     on: list[Count] = []  # executors or front ends by number; left out: drawn
 
 
+class FleetTrouble(Strict):
+    """Between front ends, or of their processes, by number. `others` left out: all that are not in `on`."""
+
+    kind: Literal[FLEET_KINDS]
+    at_s: Annotated[float, Meta(ge=0)]
+    len_s: Annotated[float, Meta(ge=0)] = 5.0  # 0: for good
+    on: list[Count] = []  # left out: all, or drawn by `part` for processes
+    others: list[Count] = []
+    part: Share = 0.2
+    size: Annotated[float, Meta(ge=0)] = 1.0
+    extra: Annotated[float, Meta(ge=0)] = 0.0
+
+
 class RulesFigures(Strict):
     drain_grace_ms: Some = 2000.0
 
@@ -178,8 +194,11 @@
     "cold": ColdStart,
     "ration": Ration,
     "troubles": Annotated[list[Trouble], Meta(max_length=100)],
+    "fleet_troubles": Annotated[list[FleetTrouble], Meta(max_length=100)],
 }
-OPTIONAL = frozenset(("store", "roster", "network", "rules", "permits", "keeping", "ration", "troubles"))
+OPTIONAL = frozenset(
+    ("store", "roster", "network", "rules", "permits", "keeping", "ration", "troubles", "fleet_troubles")
+)
 
 
 def read_day(file: str) -> dict[str, Any]:
@@ -220,15 +239,14 @@
     ):
         found.setdefault(name, shape())
     found.setdefault("troubles", [])
+    found.setdefault("fleet_troubles", [])
     faults = []
     tariffs = {t.name for t in found["tariffs"]}
     for section in ("shares", "work"):
         for name in getattr(found["traffic"], section):
             if name not in tariffs:
                 faults.append(
-                    Fault(
-                        f"traffic.{section}.{name}", "that tariff", "one of " + ", ".join(sorted(tariffs))
-                    )
+                    Fault(f"traffic.{section}.{name}", "that tariff", "one of " + ", ".join(sorted(tariffs)))
                 )
     fleet = found["fleet"]
     for i, trouble in enumerate(found["troubles"]):
@@ -240,6 +258,16 @@
         for number in trouble.on:
             if number >= most:
                 faults.append(Fault(f"troubles[{i}].on", str(number), f"0 to {most - 1}"))
+    for i, trouble in enumerate(found["fleet_troubles"]):
+        for name in ("on", "others"):
+            if any(number >= fleet.fronts for number in getattr(trouble, name)):
+                faults.append(
+                    Fault(f"fleet_troubles[{i}].{name}", "a larger number", f"0 to {fleet.fronts - 1}")
+                )
+        if trouble.at_s > found["day"].length_s:
+            faults.append(
+                Fault(f"fleet_troubles[{i}].at_s", f"{trouble.at_s:g}", f"{found['day'].length_s:g} at most")
+            )
     if fleet.cold_share < found["cold"].start_share:
         faults.append(
             Fault(
--- a/petrelway/settings/front.py
+++ b/petrelway/settings/front.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import fnmatch
+import ipaddress
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 
+from ..fleet.words import digest
 from .reading import Fault, SettingsFault, evaluate, sections
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
@@ -112,6 +114,21 @@
     background_share: Annotated[float, Meta(gt=0, le=0.9)] = 0.1
 
 
+class PeerLine(Strict):
+    name: Name
+    address: Name
+    port: Annotated[int, Meta(ge=1, le=65535)]
+
+
+class PeersWanted(Strict):
+    """The other front ends, and where this one hears them: datagrams and connections at one number."""
+
+    fleet: Name
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    members: Annotated[list[PeerLine], Meta(max_length=5000)]
+    address: Name = "127.0.0.1"
+
+
 class LogWanted(Strict):
     level: Literal["debug", "info", "warning", "error"] = "info"
     form: Literal["json", "console"] = "json"
@@ -133,8 +150,9 @@
     "log": LogWanted,
     "console": ConsoleWanted,
     "guard": SelfGuard,
+    "peers": PeersWanted,
 }
-OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log", "console", "guard"))
+OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log", "console", "guard", "peers"))
 
 
 def read_front_end(file: str) -> dict[str, Any]:
@@ -159,6 +177,36 @@
     return found
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        return bool(ipaddress.IPv4Address(text))
+    except ValueError:
+        return False
+
+
+def _between_peers(place: FrontEndPlace, peers: PeersWanted) -> list[Fault]:
+    """Danger: two names with one digest, or one address, would be taken for each other."""
+    faults = []
+    others = [m for m in peers.members if m.name != place.name]
+    if len(others) + 1 != place.peers:
+        found = f"{len(others)} others beside {place.name!r}"
+        faults.append(Fault("peers.members", found, f"front_end.peers - 1 = {place.peers - 1} others"))
+    ids, at = {digest(place.name): place.name}, {}
+    for i, m in enumerate(peers.members):
+        if m.name == place.name:
+            continue
+        for known, key, found in (
+            (ids, digest(m.name), repr(m.name)),
+            (at, (m.address, m.port), f"{m.address}:{m.port}"),
+        ):
+            if key in known:
+                faults.append(Fault(f"peers.members[{i}]", found, f"another one than that of {known[key]!r}"))
+            known.setdefault(key, m.name)
+        if not _is_ip(m.address):
+            faults.append(Fault(f"peers.members[{i}].address", repr(m.address), "an address in figures"))
+    return faults
+
+
 def between(found: dict[str, Any]) -> list[Fault]:
     """What must hold between values that are each well formed."""
     faults = []
@@ -169,6 +217,8 @@
         )
     if place.number >= place.peers:
         faults.append(Fault("front_end.number", str(place.number), f"0 to peers - 1 = {place.peers - 1}"))
+    if "peers" in found:
+        faults += _between_peers(place, found["peers"])
     for section in ("tariffs", "customers", "functions"):
         seen: set[str] = set()
         for i, each in enumerate(found[section]):
--- a/petrelway/standin/parts.py
+++ b/petrelway/standin/parts.py
@@ -50,7 +50,7 @@
             reactor.callLater(max(0.0, plan.epoch_ms + h.at_ms - now) / 1e3, happen, h)
 
 
-def _stay(reactor, plan: Plan, record: Record) -> None:
+def stay(reactor, plan: Plan, record: Record) -> None:
     reactor.callLater(max(0.0, plan.end_ms - reactor.seconds() * 1e3) / 1e3, reactor.stop)
     reactor.addSystemEventTrigger("after", "shutdown", record.close)
 
@@ -89,7 +89,7 @@
             e.happen(h)
 
     _play(reactor, plan, "executor", happen, set(executors))
-    _stay(reactor, plan, record)
+    stay(reactor, plan, record)
 
 
 def play_services(reactor, plan: Plan) -> None:
@@ -126,7 +126,7 @@
                         reactor.listenTCP(plan.ports["roster"], RosterFactory(book), interface="127.0.0.1")
                     ),
                 )
-    _stay(reactor, plan, record)
+    stay(reactor, plan, record)
 
 
 def play_packages(reactor, plan: Plan) -> None:
@@ -146,7 +146,7 @@
         shelf.fetch_ms = pace_ms * max(1e-3, h.size)
 
     _play(reactor, plan, "store", slow)
-    _stay(reactor, plan, record)
+    stay(reactor, plan, record)
 
 
 def play_clients(reactor, plan: Plan, number: int) -> None:
@@ -154,4 +154,4 @@
     clients = Clients(reactor, plan.day, plan.ports["fronts"], number, plan.epoch_ms, record)
     clients.start()
     _play(reactor, plan, "client", clients.happen)
-    _stay(reactor, plan, record)
+    stay(reactor, plan, record)
--- a/petrelway/standin/records.py
+++ b/petrelway/standin/records.py
@@ -8,8 +8,9 @@
 class Record:
     """Appends to one file; `t` is wall-clock ms since the day's epoch. Only a last line may be cut off."""
 
-    def __init__(self, path: str, clock, epoch_ms: float) -> None:
-        self.file = open(path, "ab", buffering=1 << 16)  # noqa: SIM115
+    def __init__(self, path: str, clock, epoch_ms: float, buffer: int = 1 << 16) -> None:
+        """`buffer` 0: each line at once, for a process that will be killed."""
+        self.file = open(path, "ab", buffering=buffer)  # noqa: SIM115
         self.clock, self.epoch_ms = clock, epoch_ms
         self.encode = msgspec.json.Encoder().encode
 
--- a/petrelway/standin/script.py
+++ b/petrelway/standin/script.py
@@ -8,6 +8,8 @@
 import random
 from typing import Any, NamedTuple
 
+from .straits import KINDS, Strait
+
 
 class Post(NamedTuple):
     """One executor of the script; a successor in a deploy is a post of its own."""
@@ -63,10 +65,44 @@
     alive = list(range(fleet.executors))
     for i, trouble in enumerate(day["troubles"]):
         _script(day, trouble, random.Random(f"{times.seed}/trouble {i}"), posts, alive, happenings)
+    for i, trouble in enumerate(day["fleet_troubles"]):
+        _to_front_ends(fleet, trouble, random.Random(f"{times.seed}/fleet trouble {i}"), happenings)
     happenings.sort(key=lambda h: h.at_ms)
     return Script(posts, _possible(happenings))
 
 
+def straits(day: dict[str, Any], epoch_ms: float) -> list[Strait]:
+    """What a day puts between its front ends. Times in ms, counted as the epoch is."""
+    every, found = frozenset(range(day["fleet"].fronts)), []
+    for x in day["fleet_troubles"]:
+        if x.kind in KINDS:
+            some = frozenset(x.on) or every
+            others = frozenset(x.others) or every - frozenset(x.on) or every
+            begin = epoch_ms + x.at_s * 1e3
+            end = begin + x.len_s * 1e3 if x.len_s else float("inf")
+            found.append(Strait(x.kind, some, others, begin, end, x.size, x.extra))
+    return found
+
+
+def late(day: dict[str, Any]) -> frozenset[int]:
+    """The front ends that are not there when the day begins."""
+    return frozenset(n for x in day["fleet_troubles"] if x.kind == "late" for n in x.on)
+
+
+def _to_front_ends(fleet, x, chance: random.Random, add: list[Happening]) -> None:
+    begins, ends = {"kill": ("kill", "start"), "stop": ("stop", "go on"), "leave": ("leave", "start")}.get(
+        x.kind, ("", "")
+    )
+    at, end = x.at_s * 1e3, (x.at_s + x.len_s) * 1e3
+    if x.kind == "late":
+        add.extend(Happening(at, "front", f, "start") for f in x.on)
+    elif begins:
+        for f in x.on or _some(chance, list(range(fleet.fronts)), x.part):
+            add.append(Happening(at, "front", f, begins))
+            if x.len_s:
+                add.append(Happening(end, "front", f, ends))
+
+
 def _possible(happenings: list[Happening]) -> list[Happening]:
     """Troubles overlap: what would happen to an executor that has been replaced does not."""
     left: set[int] = set()
