Members: flat in their number, quicker to agree after a cut; the node may see its peers

Cause: each tick looked through all members; after a cut one lost member a second was asked, and time-outs that grew with own health slowed the asking too, so that healthy ones were taken for cut off.

--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -22,7 +22,8 @@
 @click.command()
 @click.option("--config", "file", envvar="RELAY_CONFIG", type=click.Path(), required=True,
               help="The platform's configuration (RELAY_CONFIG).")
-def node(file: str) -> None:
+@click.option("--peers", is_flag=True, hidden=True, help="Know the other front ends, if that is permitted.")
+def node(file: str, peers: bool) -> None:
     """Run a front end on the platform's protocol until SIGTERM; SIGHUP reads the configuration again."""
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends the process; the file is read below
@@ -41,7 +42,7 @@
     except (PlatformFault, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=told.name)
-    front = NodeService(reactor, told, read, log)
+    front = NodeService(reactor, told, read, log, peers=peers)
     try:
         front.startService()
     except PlatformFault as fault:
--- a/petrelway/emulator/partners.py
+++ b/petrelway/emulator/partners.py
@@ -88,9 +88,8 @@
     for i, age in enumerate(one.proofs):
         if i != number:
             x = m.others[i + 1]
-            x.state, x.start = State.ALIVE, Start(1, 1)
-            if age is not None:
-                x.state, x.refused_ms = State.FAILED, NOW - age
+            m._hold(x, Start(1, 1), State.ALIVE if age is None else State.FAILED, NOW, "")
+            x.refused_ms = -math.inf if age is None else NOW - age
     return m, Parts(NOW - one.age, SIZE)
 
 
--- a/petrelway/emulator/sea.py
+++ b/petrelway/emulator/sea.py
@@ -5,11 +5,11 @@
 
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
-from ..fleet.members import Decision, Members, Verb, Whole
+from ..fleet.members import Change, Decision, Members, Verb, Whole
 from ..fleet.parts import Held, Parts
 from ..fleet.words import Word, digest, write
 from ..interface import Part
@@ -30,6 +30,7 @@
             now, me, token, sea.fleet, others, random.Random(f"{sea.seed}/{number}/{token}")
         )
         self.parts = Parts(now, len(sea.ids))
+        self.said: deque[Change] = deque(maxlen=10_000)
         self.whole: Whole | None = None
         self.held: Held | None = None
         self.wake = None
@@ -65,6 +66,7 @@
         held = self.held = self.parts.held(members, now)
         self.told(held.part)
         while members.changes:
+            self.said.append(members.changes[0])
             member, what, why = members.changes.popleft()
             number = self.sea.numbers[member] if member else self.number
             self.note("held", member=f"front-{number}", what=what, why=why)
--- a/petrelway/fleet/members.py
+++ b/petrelway/fleet/members.py
@@ -28,6 +28,7 @@
 ALONE_MS = 5000.0  # nobody heard for so long: cut off
 DOUBT_MS = 3000.0  # after a stall or an accusation it doubts its own view for this time
 KNOCKS = 8  # asks a period to those unheard yet; one a period to those failed
+HEALED_MS = 5000.0  # after one held failed was heard again the others are knocked at like those unheard
 TRIES_PER_S = 20.0  # ports tried, whatever the number of members
 TRY_AGAIN_MS = 1500.0  # the same port not more often than this
 SWEEP_MS = 4000.0  # after a refusal every port of one not heard is tried for this time: many may have died
@@ -74,7 +75,7 @@
         self.id, self.start, self.state, self.since_ms = id, Start(0, 0), State.UNHEARD, now
         self.heard_ms = self.refused_ms = self.tried_ms = -math.inf
         self.begun_ms, self.doubters = now, set[int]()  # of the suspicion
-        self.peers = self.view = 0  # its digests, as last heard; 0: none
+        self.view = 0  # the digest of its view, as last heard
         self.why = ""
 
 
@@ -94,6 +95,11 @@
         """`peers` are the others' ids. `token` names this process among all that ever had its name."""
         self.me, self.start, self.fleet, self.chance = me, Start(1, token), fleet, chance
         self.others = {id: Member(id, now) for id in sorted(peers)}
+        self.ids = list(self.others)
+        # danger: looked through ten times a second, a thousand members would cost more than their words
+        self.by: dict[State, dict[int, Member]] = {state: {} for state in State}
+        self.by[State.UNHEARD].update(self.others)
+        self.unlike: set[int] = set()  # members that have another list of peers
         self.peers = digest(*map(str, sorted([me, *peers])))
         self.view = 0
         for m in self.others.values():
@@ -103,7 +109,7 @@
         self.suspect_ms = SUSPECT_MS * max(1.0, math.log10(size))
         self.told_times = math.ceil(TOLD_TIMES * math.log2(size + 1))
         self.began_ms = self.turned_ms = self.period_ms = now
-        self.last_heard_ms = self.accused_ms = self.stalled_ms = self.swept_ms = -math.inf
+        self.last_heard_ms = self.accused_ms = self.stalled_ms = self.swept_ms = self.healed_ms = -math.inf
         self.health = self.stalls = 0
         self.yielded = False  # another process has this name, and keeps it
         self.overs: dict[int, int] = {}  # token of another process under this name -> incarnation outdone
@@ -140,11 +146,17 @@
         self.counts["heard"] += 1
         m.heard_ms = self.last_heard_ms = now
         m.refused_ms = -math.inf  # it is there: what was proved is over
-        m.peers, m.view = word.peers, word.view
+        m.view = word.view
+        if word.peers == self.peers:
+            self.unlike.discard(sender)
+        else:
+            self.unlike.add(sender)
         if word.kind is Kind.LEAVING:
             self._hold(m, word.start, State.LEFT, now, "said that it leaves")
             return
         if word.start > m.start or m.state is State.UNHEARD:
+            if m.state is State.FAILED:
+                self.healed_ms = now  # so others may be there too
             again = m.start.token not in (0, word.start.token)
             self._hold(m, word.start, State.ALIVE, now, "started again" if again else "heard")
         for news in word.news:
@@ -199,18 +211,23 @@
             return Whole.CUT_OFF
         if self.yielded or now < max(self.stalled_ms, self.accused_ms) + DOUBT_MS:
             return Whole.IN_DOUBT
-        for m in self.others.values():
-            unlike = m.state is State.ALIVE and m.peers not in (0, self.peers)
-            if unlike or m.state not in (State.ALIVE, State.LEFT) and not proved(m, now):
-                return Whole.IN_DOUBT
-        return Whole.WHOLE
+        if self.unlike or self.by[State.SUSPECTED] or self.by[State.UNHEARD]:
+            return Whole.IN_DOUBT
+        sure = all(proved(m, now) for m in self.by[State.FAILED].values())
+        return Whole.WHOLE if sure else Whole.IN_DOUBT
 
     def _all_proved(self, now: float) -> bool:
-        return all(proved(m, now) for m in self.others.values())
+        gone = len(self.by[State.FAILED]) + len(self.by[State.LEFT])
+        return gone == len(self.others) and len(self.proved(now)) == gone
+
+    def proved(self, now: float) -> list[Member]:
+        """Those of which it is certain now that no process uses their share."""
+        states = (State.FAILED, State.LEFT)
+        return [m for state in states for m in self.by[state].values() if proved(m, now)]
 
     def leave(self) -> list[Decision]:
         """The words of one that has stopped using anything: to a few, who pass it on."""
-        alive = [m for m in self.others.values() if m.state is State.ALIVE]
+        alive = list(self.by[State.ALIVE].values())
         some = self.chance.sample(alive, min(len(alive), 3 * HELPERS))
         for m in some:
             self._tell(Kind.LEAVING, m, 0)
@@ -227,8 +244,8 @@
         self.stalled_ms, self.stalls = now, self.stalls + 1
         self.health = min(HEALTH_MOST, self.health + 1)
         self.probes.clear()
-        for m in self.others.values():
-            m.begun_ms += gap * (m.state is State.SUSPECTED)
+        for m in self.by[State.SUSPECTED].values():
+            m.begun_ms += gap
         self.period_ms += gap
         self.changes.append(Change(0, "stood still", f"{gap:.0f} ms between two turns"))
 
@@ -246,20 +263,20 @@
             elif age >= ACK_MS * slower and not probe.helped:
                 probe.helped = True
                 self._tell(Kind.ASK, m, number)
-                alive = [x for x in self.others.values() if x.state is State.ALIVE and x is not m]
+                alive = [x for x in self.by[State.ALIVE].values() if x is not m]
                 for helper in self.chance.sample(alive, min(HELPERS, len(alive))):
                     self._tell(Kind.ASK_FOR_ME, helper, number, m.id)
         for number in [n for n, asked in self.asked_for.items() if now > asked[3]]:
             del self.asked_for[number]
-        for m in self.others.values():
-            if m.state is State.SUSPECTED and now >= self._suspected_till(m):
+        for m in list(self.by[State.SUSPECTED].values()):
+            if now >= self._suspected_till(m):
                 if m.heard_ms > m.begun_ms:  # our own ears say otherwise: it has not heard the accusation yet
                     m.begun_ms, m.doubters = now, set()
                 elif self.last_heard_ms > m.begun_ms:  # danger: one that is cut off would fail all others
                     self._hold(m, m.start, State.FAILED, now, "suspected, and did not answer in time")
         self._try_ports(now)
         if now >= self.period_ms:
-            self.period_ms = max(now, self.period_ms + PERIOD_MS * slower)
+            self.period_ms = max(now, self.period_ms + PERIOD_MS)
             self._ask_next(now)
 
     def _ask_next(self, now: float) -> None:
@@ -271,11 +288,12 @@
                 self._tell(Kind.ASK, m, self.number)
                 break
         if not self.turn:
-            self.turn = [m.id for m in self.others.values() if m.state in (State.ALIVE, State.SUSPECTED)]
+            self.turn = [*self.by[State.ALIVE], *self.by[State.SUSPECTED]]
             self.chance.shuffle(self.turn)
-        unheard = [m for m in self.others.values() if m.state is State.UNHEARD]
-        lost = [m for m in self.others.values() if m.state in (State.FAILED, State.SUSPECTED)]
-        for some, most in ((unheard, KNOCKS), (lost, 1)):
+        unheard = list(self.by[State.UNHEARD].values())
+        lost = [*self.by[State.FAILED].values(), *self.by[State.SUSPECTED].values()]
+        found_again = now < self.healed_ms + HEALED_MS
+        for some, most in ((unheard, KNOCKS), (lost, KNOCKS if found_again else 1)):
             for m in self.chance.sample(some, min(most, len(some))):
                 self._tell(Kind.ASK, m, 0)
 
@@ -283,21 +301,15 @@
         """Silence proves nothing, a refused port does. Danger: after seven in ten died at once, to ask one a
         second would take a minute; a refusal has all that are not heard tried."""
         self.room = min(4.0, self.room + TRIES_PER_S * TICK_MS / 1e3)
-        waits = {p.member.id for p in self.probes.values() if p.helped}
-        sweeps = now < self.swept_ms + SWEEP_MS
-        due = [
-            m
-            for m in self.others.values()
-            if now >= m.tried_ms + TRY_AGAIN_MS
-            and (
-                m.state > State.ALIVE
-                or m.id in waits
-                or sweeps
-                and now > m.heard_ms + PERIOD_MS
-                or m.state is State.UNHEARD
-                and now > self.began_ms + ALONE_MS
-            )
-        ]
+        some = {p.member.id: p.member for p in self.probes.values() if p.helped}
+        for state in (State.SUSPECTED, State.FAILED, State.LEFT):
+            some.update(self.by[state])
+        if now > self.began_ms + ALONE_MS:
+            some.update(self.by[State.UNHEARD])
+        if now < self.swept_ms + SWEEP_MS:
+            silent = now - PERIOD_MS
+            some.update((id, m) for id, m in self.by[State.ALIVE].items() if m.heard_ms < silent)
+        due = [m for m in some.values() if now >= m.tried_ms + TRY_AGAIN_MS]
         due.sort(key=lambda m: m.tried_ms)
         for m in due[: int(self.room)]:
             self.room -= 1.0
@@ -326,6 +338,10 @@
             return
         self.view ^= _digest(m.id, m.start, before) ^ _digest(m.id, start, state)
         m.start, m.state = start, state
+        del self.by[before][m.id]
+        self.by[state][m.id] = m
+        if state is not State.ALIVE:
+            self.unlike.discard(m.id)
         self.told[m.id] = 0
         if state is State.SUSPECTED:
             m.begun_ms, m.doubters = now, set()
@@ -418,13 +434,12 @@
             if self.told[id] >= self.told_times:
                 del self.told[id]
         if to.view != self.view:
-            ids = list(self.others)
-            for _ in range(min(len(ids), NEWS_MOST)):
+            for _ in range(min(len(self.ids), NEWS_MOST)):
                 if len(some) >= NEWS_MOST:
                     break
-                self.cursor = (self.cursor + 1) % len(ids)
-                if self.others[ids[self.cursor]].state is not State.UNHEARD:
-                    some[ids[self.cursor]] = None
+                self.cursor = (self.cursor + 1) % len(self.ids)
+                if self.others[self.ids[self.cursor]].state is not State.UNHEARD:
+                    some[self.ids[self.cursor]] = None
         return tuple(self._said(id) for id in list(some)[:NEWS_MOST])
 
     def _said(self, id: int) -> News:
--- a/petrelway/fleet/parts.py
+++ b/petrelway/fleet/parts.py
@@ -18,7 +18,7 @@
 from typing import NamedTuple
 
 from ..interface import Part
-from .members import PROOF_MS, Members, Whole, proved
+from .members import PROOF_MS, Members, Whole
 
 DRIFT = 0.01  # two clocks' spans differ by less than this share of them; quartz differs by a ten-thousandth
 WAIT_MS = PROOF_MS * (1.0 + 2.0 * DRIFT) + 500.0  # of a process that has just started
@@ -49,7 +49,7 @@
         whole = members.whole(now)
         if whole is not Whole.WHOLE:
             return Held(Part(own, math.inf), f"own share: {whole.value}")
-        dead = [m.refused_ms + PROOF_MS for m in members.others.values() if proved(m, now)]
+        dead = [m.refused_ms + PROOF_MS for m in members.proved(now)]
         if not dead:
             return Held(Part(own, math.inf), "own share")
         return Held(Part(1.0 / (self.size - len(dead)), min(dead)), "stands for dead ones too", len(dead))
--- a/petrelway/fleet/service.py
+++ b/petrelway/fleet/service.py
@@ -99,10 +99,11 @@
         peers: list[Listed],
         chance: random.Random,
         log,
-        told: Callable[[Part], None],
+        told: Callable[[Part], None] | None,
         note: Callable[..., Any] | None = None,
     ) -> None:
-        """`told` hears the part after each turn; `note` writes a rehearsal's record."""
+        """`told` hears the part after each turn; None where no port may be listened on or tried: then nobody
+        is proved dead, and every part is the own share. `note` writes a rehearsal's record."""
         self.reactor, self.me, self.fleet, self.chance = reactor, me, fleet, chance
         self.log, self.told, self.note = log, told, note
         self.peers = {digest(p.name): p for p in peers if p.name != me.name}
@@ -117,12 +118,15 @@
 
     def startService(self) -> None:
         """Raises twisted.internet.error.CannotListenError if the port is taken."""
-        self.tcp = self.reactor.listenTCP(self.me.port, Callers(self.reactor), interface=self.me.address)
+        if self.told is not None:
+            callers = Callers(self.reactor)
+            self.tcp = self.reactor.listenTCP(self.me.port, callers, interface=self.me.address)
         self.datagrams = Datagrams(self._came)
         try:
             self.udp = self.reactor.listenUDP(self.me.port, self.datagrams, interface=self.me.address)
         except error.CannotListenError:
-            self.tcp.stopListening()
+            if self.tcp is not None:
+                self.tcp.stopListening()
             raise
         now = self.now()
         token = self.chance.randrange(1, 1 << 32)
@@ -161,13 +165,15 @@
             if d.verb is Verb.TELL:
                 self._send(d)
             elif d.verb is Verb.TRY:
-                self._try(d.member, now)
+                if self.told is not None:
+                    self._try(d.member, now)
             else:
                 if self.wake is not None and self.wake.active():
                     self.wake.cancel()
                 self.wake = self.reactor.callLater(max(0.0, d.ms - now) / 1e3, self._woken)
         held = self.parts.held(self.members, now)
-        self.told(held.part)
+        if self.told is not None:
+            self.told(held.part)
         self._say(now, held)
 
     def _send(self, decision) -> None:
@@ -215,6 +221,10 @@
             left = round(held.part.until_ms - now, 3) if held.part.until_ms < math.inf else None
             self.note("part", share=held.part.share, left=left, dead=held.dead)
 
+    def figures(self) -> dict[str, int]:
+        """Words told and heard, and what was dropped by reason, since the start."""
+        return dict(sorted((self.members.counts + self.counts).items()))
+
     def members_seen(self) -> dict[str, Any]:
         """For operators; spans in s."""
         now, m = self.now(), self.members
@@ -237,7 +247,7 @@
             "stood still": m.stalls,
             "own health": m.health,
             "alive": 1 + sum(x.state is State.ALIVE for x in m.others.values()),
-            "counts": dict(sorted((m.counts + self.counts).items())),
+            "counts": self.figures(),
             "rows": rows,
         }
 
@@ -255,7 +265,7 @@
         if self.wake is not None and self.wake.active():
             self.wake.cancel()
         self.udp.stopListening()
-        return self.tcp.stopListening()
+        return self.tcp.stopListening() if self.tcp is not None else None
 
 
 def _row(name: str, state: str, since_ms: float, heard_ms: float, start: Start, why: str) -> dict[str, Any]:
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -13,6 +13,7 @@
 from twisted.internet import defer, interfaces
 
 from ..daemon.shedding import Shedder
+from ..fleet.service import FleetService, Listed
 from ..front.dialling import connector
 from ..front.host import Answer, Function, Host
 from ..interface import Effect
@@ -20,7 +21,7 @@
 from ..platform.faults import PlatformFault
 from ..platform.lines import Asks
 from ..platform.passed import Passed
-from ..platform.told import Told, read_told
+from ..platform.told import Told, read_peers, read_told
 from .door import Door
 from .follower import Follower
 from .links import PlatformLink, Room
@@ -47,8 +48,10 @@
         read: Callable[[], bytes],
         log,
         connect: Callable | None = None,
+        peers: bool = False,
     ) -> None:
-        """`read` gives the configuration's bytes anew, at SIGHUP; raises OSError."""
+        """`read` gives the configuration's bytes anew, at SIGHUP; raises OSError. `peers`: know the other
+        front ends, where the settings permit words to them."""
         self.reactor, self.told, self.read, self.log = reactor, told, read, log
         self.connect = connect or connector(reactor)
         self.lag_ms = 0.0
@@ -56,6 +59,7 @@
         self.refused = ""  # why the last one was refused
         self.port = self.pulse = None
         self.stopping = False
+        self.wants_peers, self.fleet = peers, None
 
     def now(self) -> float:
         return self.reactor.seconds() * 1e3
@@ -102,10 +106,21 @@
         self.follower.start(told.known)
         self._beat(self.now())
         self.port = self.reactor.listenTCP(told.port, self.door, backlog=512, interface=told.address)
+        if self.wants_peers and (found := read_peers(self.read())) is not None:
+            self._join(*found)
         super().startService()
         self.log.info("front end started", address=told.address, port=told.port, sockets=told.sockets,
                       memory_mb=told.memory_mb, executors=len(self.host.links))
 
+    def _join(self, listen: tuple[str, int], peers: list[tuple[str, int]], number: int) -> None:
+        """Datagrams alone lead to the others here: members are seen, parts stay the own share."""
+        names = ["{}:{}".format(*peer) for peer in peers]
+        listed = [Listed(name, *peer) for name, peer in zip(names, peers)]
+        me = Listed(names[number], *listen)
+        chance = random.SystemRandom()
+        self.fleet = FleetService(self.reactor, me, "platform", listed, chance, self.log, None)
+        self.fleet.startService()
+
     def _link(self, *args) -> PlatformLink:
         terms = self.told.terms
         return PlatformLink(*args, room=self.room, streams=terms.streams, connect_ms=terms.connect_ms or 1e3,
@@ -201,6 +216,8 @@
         yield self._pause(FLUSH_MS)
         self.follower.close()
         self.pulse.cancel()
+        if self.fleet is not None:
+            self.fleet.stopService()
         self.door.close()
         host.close()
         self.log.info("front end left", **self.figures())
@@ -213,6 +230,7 @@
             "links": dict(sorted(self.room.counts.items())),
             "shed": dict(sorted(self.shedder.nacked.items())),
             "configurations": dict(sorted(self.counts.items())),
+            "members": self.fleet.figures() if self.fleet is not None else {},
         }
 
     def _pause(self, ms: float) -> defer.Deferred:
--- a/petrelway/platform/told.py
+++ b/petrelway/platform/told.py
@@ -51,6 +51,24 @@
                 _endpoint(told, "bus"), told.get("known"), terms)
 
 
+def read_peers(data: bytes) -> tuple[tuple[str, int], list[tuple[str, int]], int] | None:
+    """Where peers are heard, their addresses by number, and the own number; None where that is not permitted.
+
+    Raises PlatformFault. Of bytes that `read_told` has read.
+    """
+    told = msgspec.json.decode(data)
+    if not read_terms(told.get("settings")).permits.tell:
+        return None
+    peers = told.get("peers")
+    if type(peers) is not list or not peers:
+        raise PlatformFault(f"peers: found {peers!r}; allowed: a list of addresses")
+    found = [_endpoint({"peers": peer}, "peers") for peer in peers]
+    number = read_terms(told.get("settings")).place.number
+    if number >= len(found) or len(set(found)) < len(found):
+        raise PlatformFault(f"peers: found {len(found)} addresses; allowed: one of its own for each number")
+    return _endpoint(told, "peer_listen"), found, number
+
+
 def _limit(limits: Any, name: str, default: float) -> float:
     value = limits.get(name, default) if type(limits) is dict else None
     if type(value) not in (int, float) or not value > 0:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -30,7 +30,10 @@
     return Members(now, me, token, 1, list(others), random.Random(1))
 
 
-def word(kind=Kind.HERE, sender=B, start=Start(1, 9), news=(), number=0, about=0, fleet=1, peers=0):
+PEERS = member().peers
+
+
+def word(kind=Kind.HERE, sender=B, start=Start(1, 9), news=(), number=0, about=0, fleet=1, peers=PEERS):
     return Word(kind, fleet, sender, start, peers, 0, number, about, tuple(news))
 
 
@@ -304,6 +307,17 @@
     assert all(d.member != B for d in run(m, 2.0, 10_000.0) if d.verb is Verb.TELL)
 
 
+def test_the_last_one_left_stands_for_all_once_each_is_proved_dead():
+    m = member()
+    for id in (B, C):
+        m.heard(0.0, id, word(sender=id, start=Start(1, id), peers=m.peers))
+    run(m, 0.0, 9000.0)
+    m.tried(9000.0, B, 9000.0, True)
+    assert m.whole(9000.0) is Whole.CUT_OFF
+    m.tried(9000.0, C, 9000.0, True)
+    assert m.whole(9000.0) is Whole.WHOLE and len(m.proved(9000.0)) == 2
+
+
 def test_a_fleet_in_memory_agrees_after_a_cut_with_restarts_on_both_sides():
     sim = World()
     straits = Straits(random.Random(3))
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -36,8 +36,8 @@
             {"kind": "one way", "at_s": 25, "len_s": 8, "on": [0, 1, 2, 3, 4]},
         ],
     ),
-    # two killed for good; one that stands for them stopped for longer than it may; one late, one that leaves and
-    # comes back; one cut off alone
+    # two killed for good; one that stands for them stopped for longer than it may; one late; one that leaves
+    # and comes back; one cut off alone
     "alone": (
         40,
         [{**COLD[0], "at_s": 11, "len_s": 10}],
