--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -90,6 +90,7 @@
             f"{file}: {section}.port: found {problem.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free port"
         ) from problem
+    front.watch_clock(time.time)
     settle()
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
     reactor.addSystemEventTrigger("after", "shutdown", lines.finish)
--- a/petrelway/emulator/day.py
+++ b/petrelway/emulator/day.py
@@ -14,11 +14,12 @@
 from ..rehearsal.inmemory import Quiet
 from ..settings.days import check_day
 from ..settings.front import check_front_end
+from ..settings.reading import Fault, SettingsFault
 from ..standin.life import Life
 from ..standin.machine import Marks
 from ..standin.memory import Process, World
 from ..standin.roster import Book, changes, first_lines, tell
-from ..standin.script import Happening, late, straits, write
+from ..standin.script import Happening, late, other_ways, straits, write
 from ..standin.store import Store
 from ..standin.straits import Straits
 from ..standin.traffic import functions
@@ -78,6 +79,9 @@
     ) -> None:
         """Raises SettingsFault for a day that is none."""
         self.day = day = check_day("(emulated)", tree)
+        if other_ways(day):
+            fault = Fault("fleet_troubles", "a way to roster or executors", "members; on sockets only")
+            raise SettingsFault("(emulated)", [fault])
         self.tree, self.kind, self.log = tree, kind, Quiet()
         self.sim = sim = sim or World()
         self.epoch_ms = sim.now_s * 1e3 + LEAD_MS
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -19,6 +19,7 @@
 from .intake import Intake
 from .roster import Follower
 
+CLOCK_LOOK_S, STEP_S = 10.0, 1.0  # the system's clock is looked at this often for steps larger than this
 LEAVE_SLACK_MS = 500.0  # what is owed is waited for this long past the longest outer limit
 
 
@@ -90,6 +91,8 @@
         """`note` writes a rehearsal's record of what the fleet's members held and used."""
         self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
         self.note, self.fleet = note, None
+        self.ahead_s: float | None = None  # the system's clock before this process's own
+        self.clock_watch = None
         self.process = process or uuid.uuid4().hex[:12]
         self.port: interfaces.IListeningPort | None = None
 
@@ -158,6 +161,16 @@
         if self.note is not None and isinstance(host.front_end, FrontEnd):
             note_uses(host.front_end, self.note)
 
+    def watch_clock(self, wall: Callable[[], float]) -> None:
+        """Say it when the system's clock was stepped. Danger: this process's own never steps, and start times
+        of executors, which the list tells by the system's, are off by as much until it starts again."""
+        ahead_s = wall() - self.reactor.seconds()
+        if self.ahead_s is not None and abs(ahead_s - self.ahead_s) > STEP_S:
+            self.log.warning("system's clock stepped", by_s=round(ahead_s - self.ahead_s, 3))
+        if self.ahead_s is None or abs(ahead_s - self.ahead_s) > STEP_S:
+            self.ahead_s = ahead_s
+        self.clock_watch = self.reactor.callLater(CLOCK_LOOK_S, self.watch_clock, wall)
+
     def _take(self, ask: Ask, content_type: str, body: bytes) -> defer.Deferred[Answer]:
         return self.host.take(
             ask.tariff,
@@ -191,6 +204,8 @@
                 timer.cancel()
         yield self._flushed()
         self.follower.close()
+        if self.clock_watch is not None and self.clock_watch.active():
+            self.clock_watch.cancel()
         self.host.close()
         if self.fleet is not None:
             yield defer.maybeDeferred(self.fleet.stopService)
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -106,14 +106,17 @@
         self.follower.start(told.known)
         self._beat(self.now())
         self.port = self.reactor.listenTCP(told.port, self.door, backlog=512, interface=told.address)
-        if self.wants_peers and (found := read_peers(self.read())) is not None:
-            self._join(*found)
+        self.meet()
         super().startService()
         self.log.info("front end started", address=told.address, port=told.port, sockets=told.sockets,
                       memory_mb=told.memory_mb, executors=len(self.host.links))
 
-    def _join(self, listen: tuple[str, int], peers: list[tuple[str, int]], number: int) -> None:
-        """Datagrams alone lead to the others here: members are seen, parts stay the own share."""
+    def meet(self) -> None:
+        """Know the other front ends, if that is wanted and permitted. Datagrams alone lead to them here, so
+        that nobody can be proved gone: members are seen, parts stay the own share."""
+        if not self.wants_peers or (found := read_peers(self.read())) is None:
+            return
+        listen, peers, number = found
         names = ["{}:{}".format(*peer) for peer in peers]
         listed = [Listed(name, *peer) for name, peer in zip(names, peers)]
         me = Listed(names[number], *listen)
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -17,7 +17,8 @@
 
 from ..standin.narrows import narrow
 from ..standin.parts import Plan
-from ..standin.script import late
+from ..standin.script import late, other_ways
+from ..standin.straits import ROSTER
 from .fronts import front_settings
 from .realworkers import write_packages, write_worker
 
@@ -111,6 +112,8 @@
         settings = front_settings(
             plan.day, tree, i, plan.ports["fronts"][i], plan.ports["roster"], log, peers(plan, i)
         )
+        if other_ways(plan.day):
+            settings["roster"] = {"port": plan.ports["straits"], "address": narrow(i, ROSTER)}
         if consoles := plan.ports.get("consoles"):
             settings["console"] = {"port": consoles[i]}
         files[-1].write_text(json.dumps(settings, indent=1))
--- a/petrelway/rules/checker.py
+++ b/petrelway/rules/checker.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 FULL, MISS = 2, 8
+KEPT_MS = 100.0  # what a relay kept arrives so long after it was passed on
 DEAF_AFTER_MS = 1000.0  # what an executor that did not read finds when it reads again was sent earlier
 INFORMED = 2 / 3  # of the work that pushed a cold executor over came from front ends told of its start
 
@@ -92,6 +93,7 @@
         self.ups: dict[str, list[dict]] = defaultdict(list)  # by executor
         self.fell: list[dict] = []
         self.deaf: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.kept: dict[tuple[str, str], list[float]] = defaultdict(list)  # by front end and executor
         self.spells: dict[str, list[list]] = defaultdict(list)  # front end -> [what, from, to]
         self.last_ms = 0.0
         for line in lines:
@@ -121,6 +123,8 @@
             self.fell.append(line)
         elif kind == "deaf":
             self.deaf[line["ex"]].append((t, float("inf")))
+        elif kind == "kept":
+            self.kept[line["fe"], line["ex"]].append(t)
         elif kind == "hears" and self.deaf[line["ex"]]:
             self.deaf[line["ex"]][-1] = (self.deaf[line["ex"]][-1][0], t + DEAF_AFTER_MS)
         elif kind in ("kill", "stop"):
@@ -131,7 +135,11 @@
                     spell[2] = t
 
     def late_by_itself(self, line: dict) -> bool:
-        """Whether this arrival says nothing of when it was sent: its executor was not reading."""
+        """Whether this arrival says nothing of when it was sent: its executor was not reading, or the way to
+        it was cut or slow on purpose."""
+        kept = self.kept.get((line["fe"], line["ex"]), ())
+        if any(at - KEPT_MS <= line["t"] <= at + KEPT_MS for at in kept):
+            return True
         return any(a <= line["t"] <= b for a, b in self.deaf.get(line["ex"], ()))
 
     def excused(self, front: str, since: float, until: float) -> bool:
--- a/petrelway/rules/fleet.py
+++ b/petrelway/rules/fleet.py
@@ -56,6 +56,8 @@
         self.strains: list[tuple[float, float, Spell]] = []  # ms late, share lost
         every = set(range(size))
         for x in troubles:
+            if getattr(x, "to", "members") != "members":
+                continue
             begin = x.at_s * 1e3
             spell = Spell(begin, begin + x.len_s * 1e3 if x.len_s else float("inf"))
             if x.kind in ("delay", "loss"):
--- a/petrelway/settings/days.py
+++ b/petrelway/settings/days.py
@@ -54,6 +54,7 @@
     "loss",
 )
 FLEET_KINDS = (*STRAITS, "kill", "stop", "leave", "late")
+ON_CONNECTIONS = ("cut", "one way", "flap", "delay")  # a connection loses nothing for good
 EMULATED_ONLY = ("cut", "far", "loss")  # what the network does can't be played on one machine's loopback
 
 
@@ -162,13 +163,15 @@
 
 
 class FleetTrouble(Strict):
-    """Between front ends, or of their processes, by number. `others` left out: all that are not in `on`."""
+    """Between front ends, or of their processes, by number. `others` left out: all that are not in `on`; `to`
+    says whether these are members or executors, or the way is to the list service."""
 
     kind: Literal[FLEET_KINDS]
     at_s: Annotated[float, Meta(ge=0)]
     len_s: Annotated[float, Meta(ge=0)] = 5.0  # 0: for good
     on: list[Count] = []  # left out: all, or drawn by `part` for processes
     others: list[Count] = []
+    to: Literal["members", "roster", "executors"] = "members"
     part: Share = 0.2
     size: Annotated[float, Meta(ge=0)] = 1.0
     extra: Annotated[float, Meta(ge=0)] = 0.0
@@ -259,11 +262,13 @@
             if number >= most:
                 faults.append(Fault(f"troubles[{i}].on", str(number), f"0 to {most - 1}"))
     for i, trouble in enumerate(found["fleet_troubles"]):
-        for name in ("on", "others"):
-            if any(number >= fleet.fronts for number in getattr(trouble, name)):
-                faults.append(
-                    Fault(f"fleet_troubles[{i}].{name}", "a larger number", f"0 to {fleet.fronts - 1}")
-                )
+        most = {"members": fleet.fronts, "executors": fleet.executors, "roster": 0}[trouble.to]
+        for name, bound in (("on", fleet.fronts), ("others", most)):
+            if any(number >= bound for number in getattr(trouble, name)):
+                faults.append(Fault(f"fleet_troubles[{i}].{name}", "a larger number", f"less than {bound}"))
+        if trouble.to != "members" and trouble.kind not in ON_CONNECTIONS:
+            allowed = "on the ways to roster and executors " + ", ".join(ON_CONNECTIONS)
+            faults.append(Fault(f"fleet_troubles[{i}].kind", repr(trouble.kind), allowed))
         if trouble.at_s > found["day"].length_s:
             faults.append(
                 Fault(f"fleet_troubles[{i}].at_s", f"{trouble.at_s:g}", f"{found['day'].length_s:g} at most")
--- a/petrelway/standin/script.py
+++ b/petrelway/standin/script.py
@@ -8,7 +8,10 @@
 import random
 from typing import Any, NamedTuple
 
-from .straits import KINDS, Strait
+from .straits import EXECUTORS, KINDS, ROSTER, Strait
+
+
+EXECUTORS_BOUND = 250  # behind the faulty network
 
 
 class Post(NamedTuple):
@@ -77,13 +80,23 @@
     for x in day["fleet_troubles"]:
         if x.kind in KINDS:
             some = frozenset(x.on) or every
-            others = frozenset(x.others) or every - frozenset(x.on) or every
+            if x.to == "roster":
+                others = frozenset([ROSTER])
+            elif x.to == "executors":
+                others = frozenset(EXECUTORS + n for n in x.others or range(EXECUTORS_BOUND))
+            else:
+                others = frozenset(x.others) or every - frozenset(x.on) or every
             begin = epoch_ms + x.at_s * 1e3
             end = begin + x.len_s * 1e3 if x.len_s else float("inf")
             found.append(Strait(x.kind, some, others, begin, end, x.size, x.extra))
     return found
 
 
+def other_ways(day: dict[str, Any]) -> bool:
+    """Whether the ways of front ends to list service and executors pass the faulty network too."""
+    return any(x.to != "members" for x in day["fleet_troubles"])
+
+
 def late(day: dict[str, Any]) -> frozenset[int]:
     """The front ends that are not there when the day begins."""
     return frozenset(n for x in day["fleet_troubles"] if x.kind == "late" for n in x.on)
--- a/petrelway/standin/straits.py
+++ b/petrelway/standin/straits.py
@@ -11,6 +11,7 @@
 
 KINDS = ("loss", "delay", "double", "reorder", "cut", "one way", "flap")
 STRAITS_BOUND = 1000  # at a time
+ROSTER, EXECUTORS = 1000, 1001  # the list service as a place, and the first executor; members count from 0
 
 
 class Strait(NamedTuple):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,41 @@
 }
 
 
+def peers(*more):
+    line = {"name": "y", "address": "127.0.0.1", "port": 7}
+    return {"fleet": "f", "port": 8, "members": [line, *({**line, **m} for m in more)]}
+
+
+def test_peers_that_would_be_taken_for_each_other_are_refused():
+    table = [
+        ({"port": 9}, "'y'", "another one than that of 'y'"),
+        ({"name": "z"}, "127.0.0.1:7", "another one than that of 'y'"),
+        ({"name": "z", "address": "there"}, "'there'", "an address in figures"),
+    ]
+    place = {"name": "x", "hall": "a", "number": 0, "peers": 3}
+    for more, found, allowed in table:
+        with pytest.raises(SettingsFault) as caught:
+            check_front_end("f", {**FRONT, "front_end": place, "peers": peers(more)})
+        [fault] = caught.value.faults
+        assert fault.path.startswith("peers.members[1]") and (fault.found, fault.allowed) == (found, allowed)
+    good = {**FRONT, "front_end": place, "peers": peers({"name": "z", "port": 9}, {"name": "x", "port": 8})}
+    assert check_front_end("f", good)["peers"].fleet == "f"  # the own line does no harm
+
+
+def test_troubles_between_front_ends_are_checked():
+    tree = evaluate(Path(__file__).parent.parent / "examples" / "torn-day.jsonnet")
+    for trouble, path in (
+        ({"kind": "cut", "at_s": 1, "on": [12]}, "fleet_troubles[0].on"),
+        ({"kind": "cut", "at_s": 99}, "fleet_troubles[0].at_s"),
+        ({"kind": "loss", "at_s": 1, "to": "roster"}, "fleet_troubles[0].kind"),
+        ({"kind": "cut", "at_s": 1, "to": "executors", "others": [9]}, "fleet_troubles[0].others"),
+        ({"kind": "fog", "at_s": 1}, "fleet_troubles[0].kind"),
+    ):
+        with pytest.raises(SettingsFault) as caught:
+            check_day("d", {**tree, "fleet_troubles": [trouble]})
+        assert [f.path for f in caught.value.faults] == [path]
+
+
 def changed(tree, path, value):
     tree = copy.deepcopy(tree)
     at = tree
@@ -38,6 +73,8 @@
 def test_faults_name_path_found_and_allowed():
     # path of the change, value, path named, words of found and allowed
     table = [
+        (("peers",), peers(), "peers.members", "1 others", "0 others"),
+        (("peers",), {"fleet": "f", "port": 0, "members": []}, "peers.port", "0", ">= 1"),
         (("front_end", "hall"), "z", "front_end.hall", "'z'", "fleet.halls"),
         (("front_end", "number"), 3, "front_end.number", "3", "peers - 1 = 0"),
         (("front_end", "nam"), "y", "front_end", "'nam'", "keys"),
