--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -2,6 +2,7 @@
 
     watch           time to detect, to agree, false suspicions, bytes, CPU a member
     parts           service after seven in ten died: number told, parts, true number
+    uneven          the same where four fifths of the triggers enter by a fifth of the front ends
     rain 0 1000     drawn days of overlapping troubles, judged
     explore         every order of events of three members
 
@@ -182,6 +183,16 @@
     return tree
 
 
+def served(lines: list[dict], begin_ms: float, end_ms: float) -> float:
+    """Share in time of the triggers due then."""
+    due = {x["m"]: x["at"] for x in lines if x["k"] == "due" and begin_ms <= x["at"] < end_ms}
+    good: dict[str, float] = {}
+    for x in lines:
+        if x["k"] == "answer" and x["o"] == "fulfilled":
+            good.setdefault(f"{x['_source']}\n{x['id']}", x["t"])
+    return sum(1 for m, at in due.items() if m in good and good[m] - at <= 1000.0) / len(due)
+
+
 def parts_one(job: tuple[int, str, str]) -> tuple[str, str, float, int, int, int]:
     seed, what, mode = job
     played = EmulatedDay(seven_in_ten(seed, what, mode == BY_PARTS))
@@ -193,18 +204,12 @@
 
         played._at(10_000.1, know)
     lines = played.play()
-    due = {x["m"]: x["at"] for x in lines if x["k"] == "due" and 10_000 <= x["at"] < 20_000}
-    good = {}
-    for x in lines:
-        if x["k"] == "answer" and x["o"] == "fulfilled":
-            good.setdefault(f"{x['_source']}\n{x['id']}", x["t"])
-    in_time = sum(1 for m, at in due.items() if m in good and good[m] - at <= 1000.0)
     cold = sum(1 for x in lines if x["k"] == "fetch" and 10_000 <= x["t"] < 20_000)
     broken = len(judge(lines, figures(played.day)))
     breaches = 0
     if mode == BY_PARTS:
         breaches = len(fleet.judge(lines, [], 60, 24_000.0))
-    return what, mode, in_time / len(due), cold, broken, breaches
+    return what, mode, served(lines, 10_000, 20_000), cold, broken, breaches
 
 
 def parts(seeds: int, *days: str) -> None:
@@ -229,6 +234,41 @@
             )
 
 
+# -- unequal entries: would loans between living members be worth anything?
+
+BUSY, TIMES = 12, 16  # so many of 60 front ends get so many times what the others get: four fifths of all
+
+
+def uneven_one(job: tuple[int, str, bool]) -> tuple[str, bool, float]:
+    """With `lent` each share is as large as the part of the triggers that enters there, from the start."""
+    seed, what, lent = job
+    tree = seven_in_ten(seed, what, False)
+    tree["troubles"] = [x for x in tree["troubles"] if x["kind"] != "balancer_crash"]
+    played = EmulatedDay(tree)
+    weights = [TIMES if number < BUSY else 1 for number in range(60)]
+    for clients in played.clients:
+        fronts = clients.traffic.fronts
+        clients.traffic.fronts = [[f for f in some for _ in range(weights[f])] for some in fronts]
+    for number, front in played.fronts.items() if lent else ():
+        front.host.front_end.gate.own = weights[number] / sum(weights)
+    return what, lent, served(played.play(), 8000, 20_000)
+
+
+def uneven(seeds: int) -> None:
+    days = ("half cold", "cold before it", "cold after it")
+    with ProcessPoolExecutor() as pool:
+        jobs = [(seed, what, lent) for what in days for seed in range(seeds) for lent in (False, True)]
+        rows = list(pool.map(uneven_one, jobs))
+    for what in days:
+        own, lent = ([r[2] for r in rows if r[:2] == (what, way)] for way in (False, True))
+        more = [b - a for a, b in zip(own, lent)]
+        print(
+            f"{what:<16} four fifths enter by 12 of 60: service {statistics.mean(own):.4f} with equal shares,"
+            f" {statistics.mean(lent):.4f} with shares by entry ({statistics.mean(more):+.4f}, standard error"
+            f" {statistics.stdev(more) / len(more) ** 0.5:.4f}); {len(more)} seeds"
+        )
+
+
 # -- drawn days
 
 
@@ -273,6 +313,8 @@
         watch()
     elif what == "parts":
         parts(int(more[0]) if more else 10, *more[1:])
+    elif what == "uneven":
+        uneven(int(more[0]) if more else 8)
     elif what == "rain":
         rain(int(more[0]), int(more[1]))
     else:
