--- a/petrelway/commands/emulations.py
+++ b/petrelway/commands/emulations.py
@@ -30,6 +30,7 @@
     from ..rehearsal.report import as_json as to_json
     from ..rehearsal.report import sums, text
     from ..rules.checker import figures, judge
+    from ..rules.fleet import judge_day
 
     def make(file: str) -> EmulatedDay:
         tree = evaluate(file)
@@ -45,9 +46,10 @@
     if record:
         _keep(Path(record), played, lines)
     faults = judge(lines, figures(played.day))
+    breaches = judge_day(lines, played.day)
     found = sums(lines, played.day)
-    click.echo(to_json(found, faults) if as_json else "emulated: " + text(found, faults))
-    sys.exit(1 if faults else 0)
+    click.echo(to_json(found, faults, breaches) if as_json else "emulated: " + text(found, faults, breaches))
+    sys.exit(1 if faults or breaches else 0)
 
 
 def _read_day(file: str):
@@ -69,9 +71,12 @@
     if any(folder.glob("*.jsonl")):
         raise click.UsageError(f"--record: found records in {folder}; allowed: a new or empty folder")
     (folder / "plan.json").write_text(json.dumps({"day": played.tree, "epoch_ms": 0.0, "ports": {}}))
-    with open(folder / "emulated.jsonl", "w", encoding="utf-8") as file:
-        for line in lines:
-            file.write(json.dumps(line, separators=(",", ":")) + "\n")
+    texts: dict[str, list[str]] = {}  # what a member notes stands in a file of its own, as on sockets
+    for line in lines:
+        name = line.get("_file", "emulated")
+        texts.setdefault(name, []).append(json.dumps(line, separators=(",", ":")) + "\n")
+    for name, some in texts.items():
+        (folder / f"{name}.jsonl").write_text("".join(some), encoding="utf-8")
 
 
 @click.command()
--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -11,8 +11,8 @@
 import click
 
 from ..rehearsal.report import told_of_fleet
-from ..rules import fleet
 from ..rules.checker import figures, judge
+from ..rules.fleet import judge_day
 from ..rules.records import RecordFault, read
 from ..settings.days import check_day, check_playable
 from ..settings.reading import SettingsFault, evaluate
@@ -105,7 +105,7 @@
         click.echo(f"the rehearsal failed: {problems[0]}\nits record: {folder}", err=True)
         sys.exit(3)
     faults = judge(read(folder), figures(found))
-    breaches = judged_fleet(folder, found)
+    breaches = judge_day(read(folder), found)
     result = report(folder, found)
     click.echo(to_json(result, faults, breaches) if as_json else text(result, faults, breaches))
     if not as_json:
@@ -113,14 +113,6 @@
     sys.exit(1 if faults or breaches else 0)
 
 
-def judged_fleet(folder, found) -> list[fleet.Breach] | None:
-    """What the record shows of the front ends as a fleet; None where they don't know each other."""
-    if not (found["fleet"].members or found["fleet_troubles"]):
-        return None
-    last_ms = found["day"].length_s * 1e3
-    return fleet.judge(read(folder), found["fleet_troubles"], found["fleet"].fronts, last_ms)
-
-
 @click.command(name="judge")
 @click.argument("folder", type=click.Path(exists=True, file_okay=False))
 @click.option("--json", "as_json", is_flag=True, help="Print the breaches with their evidence as JSON.")
@@ -130,7 +122,7 @@
     try:
         found = check_day(str(plan), json.loads(plan.read_text())["day"])
         faults = judge(read(folder), figures(found))
-        breaches = judged_fleet(folder, found)
+        breaches = judge_day(read(folder), found)
     except (OSError, ValueError, KeyError, SettingsFault, RecordFault) as error:
         click.echo(f"{folder}: {error}", err=True)
         sys.exit(2)
--- a/petrelway/rules/fleet.py
+++ b/petrelway/rules/fleet.py
@@ -113,6 +113,13 @@
     return found
 
 
+def judge_day(lines: Iterable[dict[str, Any]], day: dict[str, Any]) -> list[Breach] | None:
+    """`judge` by a day's sections; None where its front ends don't know each other."""
+    if not (day["fleet"].members or day["fleet_troubles"]):
+        return None
+    return judge(lines, day["fleet_troubles"], day["fleet"].fronts, day["day"].length_s * 1e3)
+
+
 def judge(
     lines: Iterable[dict[str, Any]], troubles: Iterable[Any], size: int, last_ms: float
 ) -> list[Breach]:
--- a/petrelway/standin/narrows.py
+++ b/petrelway/standin/narrows.py
@@ -211,6 +211,7 @@
         self.size, self.ports = len(ports), {**dict(enumerate(ports)), **(others or {})}
         numbers = range(self.size)
         self.pairs = [(a, b) for a in numbers for b in self.ports if a != b]
+        self.to = {b: [a for a in numbers if a != b] for b in self.ports}
         _room(3 * len(self.pairs) + 1000)
         self.ways = {}
         for a, b in self.pairs:
@@ -244,9 +245,8 @@
         """Stopped processes don't refuse: their kernel still takes connections."""
         if there is not None:
             self.there[number] = there
-        for a, b in self.pairs:
-            if b == number:
-                self._door(a, b, self.there[b] or self.silent(a, b))
+        for a in self.to[number]:
+            self._door(a, number, self.there[number] or self.silent(a, number))
         self.reactor.callLater(LOOK_MS / 1e3, self._look, number)
 
     def _door(self, one: int, other: int, open_: bool) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,9 +1,9 @@
 """One table for each of the five rules."""
 
-from helpers import Host, verbs
+from helpers import START, Host, verbs
 
 from petrelway.choice import HOLD_SHARE, LOOK_AGAIN_MS
-from petrelway.interface import Effect, Outcome, Scope, Stage, Verb
+from petrelway.interface import Effect, Outcome, Part, Scope, Stage, Verb
 
 H, S, ONE = Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT
 ALL, HALL, CELL = Scope.ALL, Scope.HALL, Scope.CELL
@@ -240,3 +240,33 @@
             found = [d for d in host.pull(LOOK_AGAIN_MS + 1.0) if d.trigger == t]
             assert verbs(found) == ["NACK"] and host.now <= began + expected, (stay, remaining)
             assert found[0].ms > 0.0
+
+
+def test_the_part_of_the_rations_that_is_told_holds_until_its_end():
+    # told share and end (none: untold), when it is asked, share that is used
+    table = [
+        (None, 0.0, 0.25),
+        ((0.5, 100.0), 99.0, 0.5),
+        ((0.5, 100.0), 100.0, 0.25),
+        ((0.0, 100.0), 50.0, 0.0),
+    ]
+    for told, now, share in table:
+        host = Host(2, peers=4)
+        if told is not None:
+            host.fe.part_told(0.0, Part(*told))
+        assert host.fe.gate.share(now) == share, (told, now)
+
+
+def cold_sends(share):
+    """How many triggers a cold executor gets in a span from a front end that has no history."""
+    host = Host(1, rate=50.0, peers=10, started={0: START})
+    if share is not None:
+        host.fe.part_told(START, Part(share, 1e9))
+    for _ in range(60):
+        host.take()
+    return verbs(host.pull()).count("SEND")
+
+
+def test_a_cold_executor_gets_more_by_a_larger_part_and_nothing_by_none():
+    own, more, all_of_it = cold_sends(None), cold_sends(0.5), cold_sends(1.0)
+    assert cold_sends(0.1) == own < more < all_of_it and cold_sends(0.0) == 0
