Up to 60 ports a second are tried, so that 300 dead can be known

Cause: 20 tries a second and proofs of 5 s let 100 members be known dead; with more the view is in doubt and the part falls back to the own share. A member failed by another's word kept that reason after its own proof. All of a member's chance came from the system, so that no run could be repeated. Change: 60 a second, the reason renewed, one seeded chance an instance and a token of its own.

--- a/petrelway/fleet/members.py
+++ b/petrelway/fleet/members.py
@@ -29,13 +29,14 @@
 DOUBT_MS = 3000.0  # after a stall or an accusation it doubts its own view for this time
 KNOCKS = 8  # asks a period to those unheard yet; one a period to those failed
 HEALED_MS = 5000.0  # after one held failed was heard again the others are knocked at like those unheard
-TRIES_PER_S = 20.0  # ports tried, whatever the number of members
+TRIES_PER_S = 60.0  # ports tried, whatever the number of members: so many dead times PROOF_MS can be known
 TRY_AGAIN_MS = 1500.0  # the same port not more often than this
 SWEEP_MS = 4000.0  # after a refusal every port of one not heard is tried for this time: many may have died
 TOLD_TIMES = 3.0  # news is told so often, times log2 of the members
 ASKED_FOR_BOUND = 64  # asks for others at a time
 STEP = 4096  # a new process starts so far above an earlier one, which had fewer accusations to answer
 OVERS_BOUND = 16  # other processes under the own name that are remembered
+REFUSED = "its port refuses: the process is gone"
 CHANGES_BOUND = 256  # changes that wait to be said
 
 
@@ -115,9 +116,8 @@
         self.overs: dict[int, int] = {}  # token of another process under this name -> incarnation outdone
         self.number = chance.randrange(1 << 31)
         self.probes: dict[int, Probe] = {}  # by the ask's number
-        self.asked_for: dict[
-            int, tuple[int, int, int, float]
-        ] = {}  # number -> who asked, its number, whom, till
+        # asks for others, by our number: who asked, its number, whom, until when
+        self.asked_for: dict[int, tuple[int, int, int, float]] = {}
         self.told: dict[int, int] = {}  # news of these members -> how often told
         self.turn: list[int] = []  # whom to ask next
         self.cursor = 0
@@ -183,7 +183,8 @@
             return
         m.refused_ms = self.swept_ms = max(m.refused_ms, began_ms)
         if m.state is not State.LEFT:
-            self._hold(m, m.start, State.FAILED, now, "its port refuses: the process is gone")
+            self._hold(m, m.start, State.FAILED, now, REFUSED)
+            m.why = REFUSED  # whoever said so before
 
     def time_passed(self, now: float) -> None:
         """The wake that was asked for. Danger: one that comes a hair early would be the last."""
@@ -300,7 +301,8 @@
     def _try_ports(self, now: float) -> None:
         """Silence proves nothing, a refused port does. Danger: after seven in ten died at once, to ask one a
         second would take a minute; a refusal has all that are not heard tried."""
-        self.room = min(4.0, self.room + TRIES_PER_S * TICK_MS / 1e3)
+        earned = TRIES_PER_S * TICK_MS / 1e3
+        self.room = min(2.0 * earned, self.room + earned)
         some = {p.member.id: p.member for p in self.probes.values() if p.helped}
         for state in (State.SUSPECTED, State.FAILED, State.LEFT):
             some.update(self.by[state])
--- a/petrelway/fleet/service.py
+++ b/petrelway/fleet/service.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+import secrets
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -26,6 +27,10 @@
 REASONS_BOUND = 32  # reasons for dropped datagrams that are logged
 
 
+def new_token() -> int:
+    return secrets.randbelow((1 << 32) - 1) + 1
+
+
 class Listed(NamedTuple):
     """A line of the list of peers."""
 
@@ -97,14 +102,17 @@
         me: Listed,
         fleet: str,
         peers: list[Listed],
+        token: int,
         chance: random.Random,
         log,
         told: Callable[[Part], None] | None,
         note: Callable[..., Any] | None = None,
     ) -> None:
-        """`told` hears the part after each turn; None where no port may be listened on or tried: then nobody
+        """`token` from the system's own chance: the same under the same name would make two processes one.
+        `told` hears the part after each turn; None where no port may be listened on or tried: then nobody
         is proved dead, and every part is the own share. `note` writes a rehearsal's record."""
-        self.reactor, self.me, self.fleet, self.chance = reactor, me, fleet, chance
+        self.reactor, self.me, self.fleet = reactor, me, fleet
+        self.token, self.chance = token, chance
         self.log, self.told, self.note = log, told, note
         self.peers = {digest(p.name): p for p in peers if p.name != me.name}
         self.at = {(p.address, p.port): id for id, p in self.peers.items()}
@@ -129,10 +137,8 @@
                 self.tcp.stopListening()
             raise
         now = self.now()
-        token = self.chance.randrange(1, 1 << 32)
-        self.members = Members(
-            now, digest(self.me.name), token, digest(self.fleet), list(self.peers), self.chance
-        )
+        me, fleet = digest(self.me.name), digest(self.fleet)
+        self.members = Members(now, me, self.token, fleet, list(self.peers), self.chance)
         self.parts = Parts(now, len(self.peers) + 1)
         super().startService()
         self._turn()
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -12,7 +12,7 @@
 
 from ..choice import FrontEnd
 from ..interface import ColdRule, Customer, Effect, Keeping, LoadRation, Permits, Place, Scope, Tariff
-from ..fleet.service import FleetService, Listed
+from ..fleet.service import FleetService, Listed, new_token
 from .ask import Ask, Asks, Catalogue
 from .dialling import connector
 from .host import Answer, Function, Host
@@ -152,7 +152,8 @@
             Listed(name, wanted.address, wanted.port),
             wanted.fleet,
             [Listed(m.name, m.address, m.port) for m in wanted.members],
-            random.SystemRandom(),  # the same seed under the same name would give two processes one token
+            new_token(),
+            random.Random(f"{self.found['front_end'].seed}/{name}/members"),
             self.log,
             lambda part: host.front_end.part_told(host.now(), part),
             self.note,
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer, interfaces
 
 from ..daemon.shedding import Shedder
-from ..fleet.service import FleetService, Listed
+from ..fleet.service import FleetService, Listed, new_token
 from ..front.dialling import connector
 from ..front.host import Answer, Function, Host
 from ..interface import Effect
@@ -120,8 +120,8 @@
         names = ["{}:{}".format(*peer) for peer in peers]
         listed = [Listed(name, *peer) for name, peer in zip(names, peers)]
         me = Listed(names[number], *listen)
-        chance = random.SystemRandom()
-        self.fleet = FleetService(self.reactor, me, "platform", listed, chance, self.log, None)
+        chance = random.Random(f"{self.told.seed}/{self.told.name}/members")
+        self.fleet = FleetService(self.reactor, me, "platform", listed, new_token(), chance, self.log, None)
         self.fleet.startService()
 
     def _link(self, *args) -> PlatformLink:
