Nobody is failed whom a member has not asked itself, and twice more at the end

Seen: 300 emulated front ends, 10% lost, a cut of 6 s, 210 killed: 138 times one that lives was held failed, 16 s after the cut. Checked: the accused had answered (its start had risen at 14 s), but its answer came to others behind hundreds of other news and after their suspicions' end; not loss, not a second accusation. At fault: the end of a suspicion in Members._look, which failed a member on hearsay alone. Change: who suspects asks the accused itself, eight a second, and twice more when the time is over, each with its 2 s.

--- a/petrelway/fleet/members.py
+++ b/petrelway/fleet/members.py
@@ -21,6 +21,7 @@
 HELPERS = 3  # that are asked to ask
 SUSPECT_MS = 3000.0  # a suspicion that enough others share lasts this, times log10 of the members ...
 SUSPECT_MOST = 3.0  # ... and one that nobody shares so many times that
+LAST_ASKS = 2  # after a suspicion's time it is asked so often before it is failed
 SHARED_BY = 3  # others that share it, for the shortest
 EARS_MS = 3000.0  # one heard so lately is not failed on another's word
 HEALTH_MOST = 8  # own time-outs grow by one for each ask that failed, each accusation and each stall
@@ -75,11 +76,16 @@
     def __init__(self, id: int, now: float) -> None:
         self.id, self.start, self.state, self.since_ms = id, Start(0, 0), State.UNHEARD, now
         self.heard_ms = self.refused_ms = self.tried_ms = -math.inf
-        self.begun_ms, self.doubters = now, set[int]()  # of the suspicion
+        self.suspect(now)
         self.view = 0  # the digest of its view, as last heard
         self.why = ""
 
 
+    def suspect(self, now: float) -> None:
+        """A suspicion begins: who shares it, when it was asked first since, how often it will be at the end."""
+        self.begun_ms, self.doubters, self.asked_ms, self.asks_left = now, set[int](), math.inf, LAST_ASKS
+
+
 class Probe:
     """One ask that waits for its answer."""
 
@@ -112,6 +118,7 @@
         self.began_ms = self.turned_ms = self.period_ms = now
         self.last_heard_ms = self.accused_ms = self.stalled_ms = self.swept_ms = self.healed_ms = -math.inf
         self.health = self.stalls = 0
+        self.spare = KNOCKS  # last asks left in this period
         self.yielded = False  # another process has this name, and keeps it
         self.overs: dict[int, int] = {}  # token of another process under this name -> incarnation outdone
         self.number = chance.randrange(1 << 31)
@@ -246,7 +253,7 @@
         self.health = min(HEALTH_MOST, self.health + 1)
         self.probes.clear()
         for m in self.by[State.SUSPECTED].values():
-            m.begun_ms += gap
+            m.begun_ms, m.asked_ms = m.begun_ms + gap, m.asked_ms + gap
         self.period_ms += gap
         self.changes.append(Change(0, "stood still", f"{gap:.0f} ms between two turns"))
 
@@ -272,12 +279,19 @@
         for m in list(self.by[State.SUSPECTED].values()):
             if now >= self._suspected_till(m):
                 if m.heard_ms > m.begun_ms:  # our own ears say otherwise: it has not heard the accusation yet
-                    m.begun_ms, m.doubters = now, set()
+                    m.suspect(now)
+                elif now < m.asked_ms + PROBE_MS:
+                    continue  # danger: where hundreds change at once its answer to others comes too late here
+                elif m.asks_left and self.spare:
+                    self.spare, m.asks_left, m.asked_ms = self.spare - 1, m.asks_left - 1, now
+                    self._tell(Kind.ASK, m, 0)
+                elif m.asks_left:
+                    continue
                 elif self.last_heard_ms > m.begun_ms:  # danger: one that is cut off would fail all others
                     self._hold(m, m.start, State.FAILED, now, "suspected, and did not answer in time")
         self._try_ports(now)
         if now >= self.period_ms:
-            self.period_ms = max(now, self.period_ms + PERIOD_MS)
+            self.period_ms, self.spare = max(now, self.period_ms + PERIOD_MS), KNOCKS
             self._ask_next(now)
 
     def _ask_next(self, now: float) -> None:
@@ -297,6 +311,9 @@
         for some, most in ((unheard, KNOCKS), (lost, KNOCKS if found_again else 1)):
             for m in self.chance.sample(some, min(most, len(some))):
                 self._tell(Kind.ASK, m, 0)
+        unasked = [m for m in self.by[State.SUSPECTED].values() if m.asked_ms == math.inf]
+        for m in unasked[:KNOCKS]:  # nobody is failed whom this one has not asked itself
+            self._tell(Kind.ASK, m, 0)
 
     def _try_ports(self, now: float) -> None:
         """Silence proves nothing, a refused port does. Danger: after seven in ten died at once, to ask one a
@@ -346,7 +363,7 @@
             self.unlike.discard(m.id)
         self.told[m.id] = 0
         if state is State.SUSPECTED:
-            m.begun_ms, m.doubters = now, set()
+            m.suspect(now)
         if state is not before or why == "started again":
             m.since_ms, m.why = now, why
             self.changes.append(Change(m.id, state.name.lower(), why))
@@ -423,6 +440,8 @@
             kind, self.fleet, self.me, self.start, self.peers, self.view, number, about, self._pick(to)
         )
         self.counts["told"] += 1
+        if kind is Kind.ASK:
+            to.asked_ms = min(to.asked_ms, self.turned_ms)
         self.out.append(Decision(Verb.TELL, to.id, word))
 
     def _pick(self, to: Member) -> tuple[News, ...]:
