--- a/petrelway/fleet/members.py
+++ b/petrelway/fleet/members.py
@@ -80,9 +80,8 @@
         self.view = 0  # the digest of its view, as last heard
         self.why = ""
 
-
     def suspect(self, now: float) -> None:
-        """A suspicion begins: who shares it, when it was asked first since, how often it will be at the end."""
+        """A suspicion begins: who shares it, when it was first asked since, how often it is at the end."""
         self.begun_ms, self.doubters, self.asked_ms, self.asks_left = now, set[int](), math.inf, LAST_ASKS
 
 
