--- a/petrelway/rules/fleet.py
+++ b/petrelway/rules/fleet.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 SLACK_MS = 25.0  # two processes of one machine, and a line's way into its file
+STARTING_MS = 2000.0  # a refusal from before it listened is learnt so late at most
 EXCUSED_MS = 15_000.0  # one that stood still or was cut off may be held failed for so long after
 FAILED_WITHIN_MS = 20_000.0  # one killed is held failed by all that live
 LATE_BORNE_MS, LOSS_BORNE = 400.0, 0.3  # one way, and of the datagrams: nobody is failed falsely under these
@@ -205,6 +206,8 @@
             there = [x for x in all_ if x.name == name and x.begin <= t < x.end]
             if not there or there[0].begin > t - EXCUSED_MS and len([x for x in all_ if x.name == name]) > 1:
                 continue
+            if not there[0].lines or t < there[0].lines[0]["t"] + STARTING_MS:
+                continue  # a process that has been started refuses its port until it listens
             excused = there[0].stopped(t, EXCUSED_MS) or life.stopped(t, EXCUSED_MS)
             if not excused and not cuts.ever(t, EXCUSED_MS):
                 yield Breach("false", t, life.name, f"holds {name} failed, which lives", [line])
