--- /dev/null
+++ b/petrelway/emulator/council.py
@@ -0,0 +1,223 @@
+"""Front ends that change their terms together, in simulated time: the program's own `Party` around a faulty
+network and disks that lose what was not synced. Each process has a clock of its own."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+from ..policy import ledger
+from ..policy.adopter import Terms
+from ..policy.changes import Try
+from ..policy.document import digest, stops
+from ..policy.party import Keep, Party, Tell
+from ..policy.store import after
+from ..policy.words import Kept, Progress, Propose, read, write
+from ..standin.memory import Process, World
+from ..standin.straits import Straits
+from ..wire.framing import HEADER
+
+DIAL_MS = 0.5
+CLOCKS_MS = 20_000.0  # two clocks differ by as much
+RATE = 0.0004  # and their spans by this share
+OWN = '{"tariffs":[]}'
+
+
+def make(document: str) -> tuple[Any, bool]:
+    """Raises ValueError."""
+    if "unfit" in document:
+        raise ValueError("tariffs: found 'unfit'; allowed: anything else")
+    return document, stops(document)
+
+
+class One:
+    """One process."""
+
+    def __init__(self, council: Council, number: int, process: Process, token: int) -> None:
+        self.council, self.number, self.process, self.name = council, number, process, f"front-{number}"
+        chance = random.Random(f"{council.seed}/{token}/clock")
+        self.ahead_ms, self.rate = chance.uniform(0.0, CLOCKS_MS), 1.0 + chance.uniform(-RATE, RATE)
+        kept = council.disks.setdefault(number, Kept()) if number < council.keepers else None
+        names = tuple(f"front-{i}" for i in range(council.keepers))
+        own = Terms(0, digest(OWN), OWN)
+        self.party = Party(self.now(), self.name, token, council.names, names, own, make, kept)
+        self.wake = None
+        self.pull()
+        self._trigger()
+
+    def now(self) -> float:
+        return self.council.sim.now_s * 1e3 * self.rate + self.ahead_ms
+
+    def heard(self, sender: str, data: bytes) -> None:
+        said = read(data[HEADER.size :])
+        self.party.heard(self.now(), sender, said.token, said.body)
+        self.pull()
+
+    def pull(self) -> None:
+        council = self.council
+        while (d := self.party.decide(self.now())) is not None:
+            if isinstance(d, Keep):
+                if self.number in council.full:
+                    self.party.disk_failed(self.now())
+                    continue
+                if (died := council.dies(self.number)) == "before":
+                    return
+                council.disks[self.number] = after(council.disks[self.number], d.kept, d.since)
+                council.counts["kept"] += 1
+                if died:
+                    return
+            elif isinstance(d, Tell):
+                data = write("emulated", self.name, self.party.token, d.word)
+                council.tell(self, d.to, data)
+            elif isinstance(d, Try):
+                council.dial(self, d.to)
+        while self.party.said:
+            council.note("said", fe=self.name, what=self.party.said[0][0], **self.party.said.popleft()[1])
+        if self.wake is not None and self.wake.active():
+            self.wake.cancel()
+        wait_ms = self.party.due_ms(self.now()) - self.now()
+        if wait_ms < 1e9:
+            self.wake = self.process.callLater(max(1.0, wait_ms) / 1e3, self.pull)
+
+    def _trigger(self) -> None:
+        """A client's trigger, now and then."""
+        self.take()
+        self.process.callLater(self.council.chance.expovariate(1.0 / self.council.every_s), self._trigger)
+
+    def take(self) -> None:
+        terms, _ = self.party.terms(self.now())
+        self.council.counts["taken" if terms else "turned away"] += 1
+        if terms is not None:
+            self.council.note("took", fe=self.name, version=terms.version, digest=terms.digest)
+
+
+class Council:
+    """All processes; `front-0` and so on, the first few of them are keepers."""
+
+    def __init__(self, sim: World, straits: Straits, size: int, keepers: int = 3, seed: int = 0,
+                 way_ms: float = 0.5, every_s: float = 0.05) -> None:
+        self.sim, self.straits, self.size, self.keepers, self.seed = sim, straits, size, keepers, seed
+        self.way_ms, self.every_s = way_ms, every_s
+        self.names = [f"front-{i}" for i in range(size)]
+        self.ones: dict[int, One] = {}
+        self.disks: dict[int, Kept] = {}
+        self.full: set[int] = set()  # disks that take nothing more
+        self.lines: list[dict[str, Any]] = []
+        self.counts: Counter[str] = Counter()
+        self.chance, self.tokens = random.Random(f"{seed}/council"), random.Random(f"{seed}/tokens")
+        self.dying: dict[int, int] = {}  # number -> so many syncs more, and it dies
+
+    def now(self) -> float:
+        return self.sim.now_s * 1e3
+
+    def note(self, kind: str, **what: Any) -> None:
+        self.lines.append({"k": kind, "t": self.now(), **what})
+
+    # -- processes
+
+    def start(self, number: int) -> None:
+        if number not in self.ones:
+            process = Process(self.sim, f"front-{number}")
+            one = One.__new__(One)
+            self.ones[number] = one
+            one.__init__(self, number, process, self.tokens.randrange(1, 1 << 32))
+
+    def kill(self, number: int) -> None:
+        if (one := self.ones.pop(number, None)) is not None:
+            one.process.kill()
+
+    def dies(self, number: int) -> str:
+        """Whether it is killed just before or after this sync, with all it had still to say."""
+        if number not in self.dying:
+            return ""
+        self.dying[number] -= 1
+        if self.dying[number] > 0:
+            return ""
+        del self.dying[number]
+        when = "before" if self.chance.random() < 0.5 else "after"
+        self.note("killed at a sync", fe=f"front-{number}", when=when)
+        self.kill(number)
+        return when
+
+    # -- ways
+
+    def tell(self, one: One, to: str, data: bytes) -> None:
+        number = int(to.rpartition("-")[2])
+        self.counts["words"] += 1
+        self.counts["bytes"] += len(data)
+        for late_ms in self.straits.carry(self.now(), one.number, number):
+            self.sim.later((self.way_ms + late_ms) / 1e3, self._arrive, one.name, number, data)
+
+    def _arrive(self, sender: str, number: int, data: bytes) -> None:
+        if (one := self.ones.get(number)) is not None:
+            one.process.run(one.heard, sender, data)
+
+    def dial(self, one: One, to: str) -> None:
+        number, began, own_ms = int(to.rpartition("-")[2]), self.now(), one.now()
+        there_ms = self.straits.late_ms(began, one.number, number) + DIAL_MS / 2
+
+        def there() -> None:
+            now = self.now()
+            if number in self.ones or self.straits.is_cut(began, one.number, number):
+                return
+            if self.straits.is_cut(now, number, one.number):
+                return
+            back_ms = self.straits.late_ms(now, number, one.number) + DIAL_MS / 2
+            self.sim.later(back_ms / 1e3, one.process.run, refused)
+
+        def refused() -> None:
+            one.party.tried(one.now(), to, own_ms, True)
+            one.pull()
+
+        self.sim.later(there_ms / 1e3, there)
+
+    # -- operators
+
+    def wish(self, number: int, id: str, base: int, document: str, **more: Any) -> Progress | None:
+        """An operator's change by way of this member; None where it is dead."""
+        one = self.ones.get(number)
+        if one is None:
+            return None
+        found: list[Progress] = []
+        propose = Propose(id=id, base=base, document=document, base_document=OWN, by="op", at=0.0, **more)
+
+        def ask() -> None:
+            found.append(one.party.wished(one.now(), propose))
+            one.pull()
+
+        one.process.run(ask)
+        return found[0] if found else None
+
+    def change(self, id: str, base: int, document: str, most_s: float = 60.0, by: int | None = None,
+               **more: Any) -> Progress | None:
+        """Ask until it has ended, by way of whoever lives; what the operator was told is noted."""
+        end, progress = self.sim.now_s + most_s, None
+        while self.sim.now_s < end:
+            alive = sorted(self.ones)
+            at = by if by in self.ones else alive[0] if alive else -1
+            progress = self.wish(at, id, base, document, **more) or progress
+            if progress is not None and progress.state != "under way":
+                self.note("change", id=id, base=base, state=progress.state, version=progress.version)
+                return progress
+            self.sim.run(self.sim.now_s + 0.1)
+        return progress
+
+    def leader(self) -> int | None:
+        some = [n for n, one in self.ones.items() if one.party.lead and one.party.keeper.ready()]
+        return max(some, key=lambda n: self.ones[n].party.keeper.term, default=None)
+
+    def history(self) -> None:
+        """The end: what the leader's history says."""
+        leader = self.leader()
+        if leader is not None:
+            versions = self.ones[leader].party.keeper.ledger.versions
+            self.note("history", rows=[[v.number, v.base, v.digest, v.proposal] for v in versions])
+
+
+def on_disk(kept: Kept) -> ledger.Ledger:
+    """What a disk alone tells: all entries, committed or not."""
+    state = ledger.read(kept.snapshot)
+    for offset, entry in enumerate(kept.entries, 1):
+        state = ledger.apply(state, kept.index + offset, entry)
+    return state
