--- a/petrelway/rules/policy.py
+++ b/petrelway/rules/policy.py
@@ -1,7 +1,7 @@
 """Judges the record of a fleet whose terms were changed: everywhere or nowhere. Imports nothing of it.
 
-Lines: `took` (fe, version, digest, t): a trigger taken; `change` (id, base, state, version): how a proposal ended,
-as its operator was told; `vouched` (fe, t): an operator said that it is gone; `history` (rows of
+Lines: `took` (fe, version, digest, t): a trigger taken; `change` (id, base, state, version): how a proposal
+ended, as its operator was told; `vouched` (fe, t): an operator said that it is gone; `history` (rows of
 number, base, digest, proposal): what the keepers say at the end.
 """
 
