Terms are changed in running front ends: section policy, petrelway policy

Change: section policy, the policy service on the members' control ports, the module's input for new terms (a trigger keeps those it was taken under, rule 4 goes by the stricter rate until the longest window has passed), the version in members' datagrams, petrelway policy with plan, apply, show, history, diff, back, abandon, keepers, a console page, /ready.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -94,8 +94,10 @@
 class Trigger:
     """One trigger, from the taking to the end of its last transmission."""
 
-    def __init__(self, index: int, kind: int, tariff: Tariff, customer: int, function: Function, size: float,
-                 now: float, remaining_ms: float, repeat: bool, luck: float) -> None:
+    def __init__(self, index: int, kind: int, tariff: Tariff, permits: Permits, customer: int,
+                 function: Function, size: float, now: float, remaining_ms: float, repeat: bool,
+                 luck: float) -> None:
+        self.permits = permits
         self.index, self.kind, self.tariff, self.customer = index, kind, tariff, customer  # kind: its index
         self.function, self.size, self.work_ms = function, size, 0.0  # 0: no work told
         self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
@@ -224,19 +226,20 @@
 class Gate:
     """The five rules, at the one place that every transmission, order and final answer passes."""
 
-    def __init__(self, permits: Permits, cold: ColdRule, ration: LoadRation, told_rate: float, own: float,
+    def __init__(self, cold: ColdRule, ration: LoadRation, told_rate: float, own: float,
                  chance: random.Random, start: float) -> None:
-        self.permits, self.cold, self.ration = permits, cold, ration
+        self.cold, self.ration = cold, ration
         self.told_rate, self.chance, self.start = told_rate, chance, start
+        self.strict = (told_rate, start)  # the least rate told lately, and until when it holds
         self.own, self.part = own, Part(own, start)  # shares of the fleet's rations: what is told has an end
         self.seen: dict[int, tuple[float, float]] = {}  # machine kind -> decayed count of fulfilled, time
         self.usual: dict[int, float] = {}  # what a warm one of the kind carries of our triggers, a ms
         self.taken, self.ordered = deque[float](), deque[float]()
 
     def send(self, t: Trigger, e: Executor, listed: int, now: float) -> bool:
-        if t.answered or now >= t.answer_by or t.sent >= self.permits.transmissions:  # rule 1
+        if t.answered or now >= t.answer_by or t.sent >= t.permits.transmissions:  # rule 1
             return False
-        if t.out and not self.permits.second_copies:
+        if t.out and not t.permits.second_copies:
             return False
         if e.listing.stage is not Stage.READY:  # rule 3, without using the grace
             return False
@@ -269,6 +272,15 @@
         """Danger: whoever stood still, or hears nothing more, would use what others use again."""
         return self.part.share if now < self.part.until_ms else self.own
 
+    def rate(self, now: float) -> float:
+        least, until = self.strict
+        return min(least, self.told_rate) if now < until else self.told_rate
+
+    def rate_told(self, now: float, rate: float) -> None:
+        """Danger: right after a change front ends would send for the old and the new rate in one window."""
+        self.strict = self.rate(now), now + max(self.cold.warm_ms, self.cold.span_ms)
+        self.told_rate = rate
+
     def is_cold(self, e: Executor, now: float) -> bool:
         return now < e.listing.started_ms + self.cold.warm_ms
 
@@ -284,7 +296,7 @@
         part = COLD_MARGIN * cold.multiple * (cold.start_share + (1.0 - cold.start_share) * grown)
         # danger: a restarted front end has no history; then the customers' shares, which the fleet can
         # carry, are split evenly over front ends and executors, and halved
-        told = 0.5 * self.share(now) * self.told_rate / max(1, listed)
+        told = 0.5 * self.share(now) * self.rate(now) / max(1, listed)
         rate = part * max(self.usual.get(e.listing.machine, 0.0), told)
         if rate <= 0.0:
             return False
@@ -329,7 +341,7 @@
         self.chance = random.Random(seed)
         self.told_rate = sum(c.rate for c in customers) / 1000.0  # of all front ends, a ms
         self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
-        self.gate = Gate(permits, cold, ration, self.told_rate, 1.0 / max(1, place.peers), self.chance, now)
+        self.gate = Gate(cold, ration, self.told_rate, 1.0 / max(1, place.peers), self.chance, now)
         self.executors: dict[int, Executor] = {}
         self.fleet = Fleet()
         self.ready = self.fleet.ready
@@ -387,8 +399,8 @@
         self.asked = self.asked * math.exp((self.asked_ms - now) / ASKED_SPAN_MS) + size
         f.asked = f.asked * math.exp((f.used_ms - now) / ASKED_SPAN_MS) + size
         self.asked_ms = f.used_ms = now
-        t = Trigger(trigger, tariff, self.tariffs[tariff], customer, f, size, now, remaining_ms, repeat,
-                    self.chance.random())
+        t = Trigger(trigger, tariff, self.tariffs[tariff], self.permits, customer, f, size, now, remaining_ms,
+                    repeat, self.chance.random())
         self.triggers[trigger], t.work_ms = t, work_ms
         self.gate.taken.append(now)
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
@@ -537,6 +549,13 @@
             t.answered = True
             self.attention.append(trigger)
 
+    def terms_told(self, now: float, tariffs: list[Tariff], customers: list[Customer],
+                   permits: Permits) -> None:
+        """What is taken from now on goes by these; a trigger keeps the terms that it was taken under."""
+        self.tariffs, self.permits = tariffs, permits
+        self.told_rate = sum(c.rate for c in customers) / 1000.0
+        self.gate.rate_told(now, self.told_rate)
+
     def part_told(self, now: float, part: Part) -> None:
         self.gate.part = part
 
@@ -593,7 +612,7 @@
     def _for_trigger(self, t: Trigger, now: float) -> Decision | None:
         if t.answered:
             return self._withdraw(t)
-        if now >= t.answer_by or not t.out and t.sent >= self.permits.transmissions:
+        if now >= t.answer_by or not t.out and t.sent >= t.permits.transmissions:
             return self._give_up(t)
         return self._second(t, now) if t.out else self._place(t, now)
 
@@ -601,7 +620,7 @@
         """Nobody waits for these transmissions any more: spare the executors the work."""
         t.function.held.pop(t.index, None)
         for sent in t.out.values():
-            if not sent.withdrawn and self.permits.withdraw:
+            if not sent.withdrawn and t.permits.withdraw:
                 sent.withdrawn = True
                 return Decision(Verb.WITHDRAW, t.index, number=sent.number)
         if not t.out and self.triggers.pop(t.index, None):
@@ -612,7 +631,7 @@
         """Rule 1: the one final answer, at once."""
         t.answered = True
         if self.gate.nack(t):
-            return Decision(Verb.NACK, t.index, ms=min(self.permits.longest_retry_ms, self.mean_ms))
+            return Decision(Verb.NACK, t.index, ms=min(t.permits.longest_retry_ms, self.mean_ms))
         return Decision(Verb.BREAK_OFF, t.index)
 
     def _place(self, t: Trigger, now: float) -> Decision | None:
--- a/petrelway/commands/__init__.py
+++ b/petrelway/commands/__init__.py
@@ -18,6 +18,7 @@
     "standins": ("standin",),
     "workers": ("worker", "store", "package"),
     "nodes": ("node",),
+    "policies": ("policy",),
 }
 
 
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -54,6 +54,7 @@
     from ..daemon.service import Daemon
     from ..front.collecting import settle
     from ..front.service import FrontEndService
+    from ..policy.store import StoreFault
     from ..rehearsal.baselines import POLICIES
     from ..standin.records import Record
     from ..steady import steady
@@ -82,6 +83,8 @@
         front.startService()
     except ValueError as problem:
         raise click.UsageError(f"{file}: console.token_file: {problem}") from problem
+    except StoreFault as problem:
+        raise click.UsageError(f"{file}: policy.file: {problem}") from problem
     except error.CannotListenError as problem:
         section = "listen" if problem.port == found["listen"].port else "console"
         if "peers" in found and problem.port == found["peers"].port:
--- a/petrelway/console/pages.py
+++ b/petrelway/console/pages.py
@@ -8,6 +8,7 @@
 from . import explainer
 
 ROWS_BOUND = 200  # of one page; more are behind `?from=`
+HISTORY_LOOKS, HISTORY_LOOK_MS = 4, 100.0  # so often, so far apart it is looked whether a keeper has answered
 TEXT_BOUND = 300  # characters shown of a name that came from outside
 
 
@@ -125,6 +126,39 @@
     return {**seen, **_paged(seen["rows"], asked)}
 
 
+def policy(d: Any, asked: dict[str, str]) -> Generator[Any, None, dict[str, Any]]:
+    """The terms: which version holds here and whether triggers are taken under it; `?history=1`: the history
+    as the keepers tell it, `?document=N`: one version's document."""
+    yield
+    if d.policy is None:
+        return {"version": None, "rows": [], "of": 0, "from": 0, "search": ""}
+    seen = d.policy.seen()
+    if d.policy.party.keeper is None:
+        d.policy.recall()
+        for _ in range(HISTORY_LOOKS):
+            yield HISTORY_LOOK_MS
+    history = d.policy.history()
+    seen["history"] = None if history is None else history.version
+    rows = []
+    for v in reversed(history.versions if history else ()):
+        rows.append({
+            "version": v.number, "digest": v.digest, "made from": v.base, "by": short(v.by), "at": v.at,
+            "change": short(v.proposal), "without": [[short(n), short(why)] for n, why in v.without],
+        })  # fmt: skip
+        yield
+    ended = [
+        {"change": short(s.proposal), "version": s.version, "why": short(s.why)}
+        for s in reversed(history.settled if history else ())
+    ]
+    wanted = asked.get("document", "")
+    if wanted:
+        found = [v.document for v in (history.versions if history else ()) if str(v.number) == wanted]
+        seen["asked document"] = found[0] if found else None
+    pending = history.pending if history else None
+    seen["under way"] = pending.proposed.id if pending else ""
+    return {**seen, "ended": ended[:ROWS_BOUND], **_paged(rows, asked)}
+
+
 def live(d: Any) -> dict[str, Any]:
     """The few figures that are sent each second."""
     now, t = d.now(), d.telemetry
@@ -166,5 +200,6 @@
     "triggers": triggers,
     "changes": changes,
     "members": members,
+    "policy": policy,
     "own": own,
 }
--- a/petrelway/console/serving.py
+++ b/petrelway/console/serving.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 import jinja2
+import msgspec
 from twisted.internet import defer, interfaces
 from twisted.web import resource, server
 from zope.interface import implementer
 
 from ..background.planner import Class
 from ..background.running import Background, Refused
+from ..policy.words import Propose
 from . import pages
 
 HERE = Path(__file__).parent
@@ -25,6 +27,7 @@
 SLOW_READER_MS = 10_000.0  # a viewer that takes nothing for so long is cut off
 HALF_REQUEST_S = 20  # a request that is not whole by then is dropped
 BODY_BOUND = 4096
+WISH_BOUND = 2 << 20  # bytes of an operator's change, with its document and that of the settings
 HEADERS = {
     b"content-security-policy": b"default-src 'none'; script-src 'self'; style-src 'self'; "
     b"connect-src 'self'; img-src 'self'; base-uri 'none'; form-action 'self'; frame-ancestors 'none'",
@@ -36,13 +39,13 @@
 
 class Request(server.Request):
     def gotLength(self, length: int | None) -> None:
-        if length is not None and length > BODY_BOUND:
+        if length is not None and length > self.channel.site.body_bound:
             self.channel.loseConnection()
             length = 0
         super().gotLength(length)
 
     def handleContentChunk(self, data: bytes) -> None:
-        if self.content.tell() + len(data) > BODY_BOUND:
+        if self.content.tell() + len(data) > self.channel.site.body_bound:
             self.channel.loseConnection()
             return
         super().handleContentChunk(data)
@@ -79,8 +82,12 @@
         style = Asset(self, HERE / "assets" / "console.css", b"text/css; charset=utf-8")
         root.putChild(b"console.css", style)
         root.putChild(b"metrics", Metrics(self))
+        self.body_bound = BODY_BOUND
         if token:
             root.putChild(b"leave", Leave(self))
+        if token and daemon.policy is not None:
+            self.body_bound = WISH_BOUND
+            root.putChild(b"wish", Wish(self))
         super().__init__(root, timeout=HALF_REQUEST_S, reactor=reactor)
         self.displayTracebacks = False
         self._live_later()
@@ -289,8 +296,8 @@
         return server.NOT_DONE_YET
 
 
-class Leave(resource.Resource):
-    """POST with `Authorization: Bearer TOKEN`: the daemon answers what it owes and ends."""
+class Trusted(resource.Resource):
+    """POST with `Authorization: Bearer TOKEN`."""
 
     isLeaf = True
 
@@ -301,10 +308,31 @@
     def render_POST(self, request: Request):
         self.console.whole(request.transport)
         given = (request.getHeader("authorization") or "").removeprefix("Bearer ")
-        if not hmac.compare_digest(given.encode("utf-8", "replace"), self.console.token.encode()):
-            self.console._count("wrong token")
-            _answer(request, 403, b"text/plain", b"not with this token\n")
+        if hmac.compare_digest(given.encode("utf-8", "replace"), self.console.token.encode()):
+            return self.trusted(request)
+        self.console._count("wrong token")
+        _answer(request, 403, b"text/plain", b"not with this token\n")
+        return server.NOT_DONE_YET
+
+
+class Wish(Trusted):
+    """A change of the terms, or how one stands: the same words are sent until it has ended."""
+
+    def trusted(self, request: Request):
+        try:
+            wish = msgspec.json.decode(request.content.read(), type=Propose)
+        except (msgspec.MsgspecError, ValueError) as problem:
+            _answer(request, 400, b"text/plain", f"can't be read: {problem}\n".encode()[:500])
             return server.NOT_DONE_YET
+        progress = self.console.daemon.policy.wished(wish)
+        _answer(request, 200, b"application/json", msgspec.json.encode(progress))
+        return server.NOT_DONE_YET
+
+
+class Leave(Trusted):
+    """The daemon answers what it owes and ends."""
+
+    def trusted(self, request: Request):
         self.console.logger.warning("told to leave by the console")
         _answer(request, 202, b"text/plain", b"leaving\n")
         self.console.daemon.leave()
--- a/petrelway/console/telemetry.py
+++ b/petrelway/console/telemetry.py
@@ -136,6 +136,11 @@
         self.open: dict[int, Story] = {}  # by the host's serial
         self.changes: deque[tuple[float, str, str]] = deque((), CHANGES)
 
+    def terms_told(self, quoted_ms: dict[str, float]) -> None:
+        self.quoted_ms = quoted_ms
+        for tariff in quoted_ms:
+            self.latency.setdefault(tariff, deque((), LATENCY_SLOTS))
+
     # -- what the host calls
 
     def taken(self, now: float, serial: int, mark: str, tariff: str, customer: str, function: str) -> None:
--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -90,6 +90,12 @@
                 raise
             self.log.info("console started", address=wanted.address, port=self.console_port.getHost().port)
 
+    def _adopted(self, told) -> None:
+        super()._adopted(told)
+        self.telemetry.terms_told(self.made.quoted_ms)
+        self.shedder.told([c.portion for c in self.made.customers])
+        self.telemetry.changed(self.now(), "terms", f"version {told.version} ({told.digest})")
+
     def _roll(self):
         while True:
             yield None if self.telemetry.windows.roll() else HOUSEKEEPING_MS
--- a/petrelway/daemon/shedding.py
+++ b/petrelway/daemon/shedding.py
@@ -70,6 +70,13 @@
         )  # parts of triggers that a customer still may send
         self.nacked: Counter[str] = Counter()
 
+    def told(self, portions: list[float]) -> None:
+        """Other shares; a customer keeps its index, and what it was seen to ask."""
+        self.portions = portions if sum(portions) > 0.0 else [1.0] * len(portions)
+        more = max(1, len(portions)) - len(self.owed)
+        self.asked[-1:-1] = [(0.0, 0.0)] * more
+        self.owed += [0.0] * more
+
     def seen(self, lag_ms: float, open: int, buffered: int, connections: int) -> None:
         """The daemon's own state now."""
         self.pressures = Pressures(
--- a/petrelway/emulator/partners.py
+++ b/petrelway/emulator/partners.py
@@ -19,7 +19,7 @@
 from ..fleet.members import Members
 from ..fleet.parts import Parts
 from ..fleet.words import Kind, Start, State, Word
-from ..interface import ColdRule, LoadRation, Part, Permits
+from ..interface import ColdRule, LoadRation, Part
 
 SIZE = 3
 STEP_MS = 1400.0  # so that the wait of a new process ends in the step in which it may
@@ -27,7 +27,6 @@
 RATES = (0.995, 1.005, 1.0)  # clocks that differ by the bound
 DEAD, RUNS, STOPPED = 0, 1, 2
 NOW = 1e6
-PERMITS = Permits(1, False, False, False, False, 0.0)
 
 
 class One(NamedTuple):
@@ -75,7 +74,7 @@
 @cache
 def _in_use(one: One) -> float:
     """What the module would go by in this turn, if it has been told nothing since."""
-    gate = Gate(PERMITS, ColdRule(1, 1, 1, 1), LoadRation(0, 0, 0), 1.0, 1 / SIZE, random.Random(0), 0.0)
+    gate = Gate(ColdRule(1, 1, 1, 1), LoadRation(0, 0, 0), 1.0, 1 / SIZE, random.Random(0), 0.0)
     gate.part = Part(one.share, NOW + one.left)
     return gate.share(NOW)
 
--- a/petrelway/fleet/members.py
+++ b/petrelway/fleet/members.py
@@ -78,6 +78,7 @@
         self.heard_ms = self.refused_ms = self.tried_ms = -math.inf
         self.suspect(now)
         self.view = 0  # the digest of its view, as last heard
+        self.version = 0  # of the terms that it runs under, as last heard
         self.why = ""
 
     def suspect(self, now: float) -> None:
@@ -118,6 +119,7 @@
         self.last_heard_ms = self.accused_ms = self.stalled_ms = self.swept_ms = self.healed_ms = -math.inf
         self.health = self.stalls = 0
         self.spare = KNOCKS  # last asks left in this period
+        self.version = 0  # of the terms that this one runs under, as the host tells it
         self.yielded = False  # another process has this name, and keeps it
         self.overs: dict[int, int] = {}  # token of another process under this name -> incarnation outdone
         self.number = chance.randrange(1 << 31)
@@ -152,7 +154,7 @@
         self.counts["heard"] += 1
         m.heard_ms = self.last_heard_ms = now
         m.refused_ms = -math.inf  # it is there: what was proved is over
-        m.view = word.view
+        m.view, m.version = word.view, word.version
         if word.peers == self.peers:
             self.unlike.discard(sender)
         else:
@@ -436,8 +438,9 @@
 
     def _tell(self, kind: Kind, to: Member, number: int, about: int = 0) -> None:
         word = Word(
-            kind, self.fleet, self.me, self.start, self.peers, self.view, number, about, self._pick(to)
-        )
+            kind, self.fleet, self.me, self.start, self.peers, self.view, number, about, self._pick(to),
+            self.version,
+        )  # fmt: skip
         self.counts["told"] += 1
         if kind is Kind.ASK:
             to.asked_ms = min(to.asked_ms, self.turned_ms)
--- a/petrelway/fleet/service.py
+++ b/petrelway/fleet/service.py
@@ -120,6 +120,8 @@
         self.tcp = self.udp = self.wake = None
         self.whole: Whole | None = None
         self.held: Held | None = None
+        self.door: protocol.Factory | None = None  # who hears connections at the port, where words come by it
+        self.versions: Callable[[int], None] = lambda version: None  # hears which terms others run under
 
     def now(self) -> float:
         return self.reactor.seconds() * 1e3
@@ -127,8 +129,8 @@
     def startService(self) -> None:
         """Raises twisted.internet.error.CannotListenError if the port is taken."""
         if self.told is not None:
-            callers = Callers(self.reactor)
-            self.tcp = self.reactor.listenTCP(self.me.port, callers, interface=self.me.address)
+            callers = self.door or Callers(self.reactor)
+            self.tcp = self.reactor.listenTCP(self.me.port, callers, backlog=512, interface=self.me.address)
         self.datagrams = Datagrams(self._came)
         try:
             self.udp = self.reactor.listenUDP(self.me.port, self.datagrams, interface=self.me.address)
@@ -154,6 +156,8 @@
             return
         self.members.heard(self.now(), sender, word)
         self._turn()
+        if word.version:
+            self.versions(word.version)
 
     def _dropped(self, why: str, address: tuple[str, int]) -> None:
         self.counts[why] += 1
@@ -235,10 +239,12 @@
         """For operators; spans in s."""
         now, m = self.now(), self.members
         rows = [_row(self.me.name, "this one", now - m.began_ms, 0.0, m.start, "itself")]
+        rows[0]["terms"] = m.version
         for id, peer in sorted(self.peers.items(), key=lambda item: item[1].name):
             x = m.others[id]
             heard_ms = now - x.heard_ms
             rows.append(_row(peer.name, x.state.name.lower(), now - x.since_ms, heard_ms, x.start, x.why))
+            rows[-1]["terms"] = x.version
         held, size = self.held, self.parts.size
         left_ms = held.part.until_ms - now
         return {
--- a/petrelway/fleet/words.py
+++ b/petrelway/fleet/words.py
@@ -18,7 +18,9 @@
 HEAD = struct.Struct(">2sBBIIIIIIIIB")
 NEWS = struct.Struct(">IIIB")
 CHECK = struct.Struct(">I")
-NEWS_MOST = (DATAGRAM_BOUND - HEAD.size - CHECK.size) // NEWS.size
+TERMS = struct.Struct(">BBI")
+TERMS_NAME = ord("t")
+NEWS_MOST = (DATAGRAM_BOUND - HEAD.size - TERMS.size - CHECK.size) // NEWS.size
 
 
 class Kind(IntEnum):
@@ -69,6 +71,7 @@
     number: int
     about: int
     news: tuple[News, ...] = ()
+    version: int = 0  # of the terms that the sender runs under; a section, left out where it is 0
 
 
 class WordFault(Exception):
@@ -106,6 +109,8 @@
         )
     ]
     parts += [NEWS.pack(n.member, *n.start, n.state) for n in word.news[:NEWS_MOST]]
+    if word.version:
+        parts.append(TERMS.pack(TERMS_NAME, 4, word.version))
     data = b"".join(parts)
     return data + CHECK.pack(zlib.crc32(data))
 
@@ -131,16 +136,21 @@
             News(member, Start(i, t), State(state))
             for member, i, t, state in NEWS.iter_unpack(body[HEAD.size : HEAD.size + count * NEWS.size])
         )
-        _pass_over_sections(body[HEAD.size + count * NEWS.size :])
-        return Word(Kind(kind), fleet, sender, Start(incarnation, token), peers, view, number, about, news)
+        version = _sections(body[HEAD.size + count * NEWS.size :])
+        start = Start(incarnation, token)
+        return Word(Kind(kind), fleet, sender, start, peers, view, number, about, news, version)
     except ValueError as error:
         raise WordFault("unknown kind or state") from error
 
 
-def _pass_over_sections(data: bytes) -> None:
-    """Sections of later versions, each `name:1 length:1` and so many bytes. Raises WordFault."""
-    at = 0
+def _sections(data: bytes) -> int:
+    """Sections, each `name:1 length:1` and so many bytes: that of the terms; others, of later versions, are
+    passed over. Raises WordFault."""
+    at = version = 0
     while at < len(data):
         if at + 2 > len(data) or at + 2 + data[at + 1] > len(data):
             raise WordFault("section cut off")
+        if data[at] == TERMS_NAME and data[at + 1] == 4:
+            version = int.from_bytes(data[at + 2 : at + 6], "big")
         at += 2 + data[at + 1]
+    return version
--- a/petrelway/front/ask.py
+++ b/petrelway/front/ask.py
@@ -43,9 +43,20 @@
 class Asks:
     """Reads asks from events, by the names that the settings give. Raises EventFault (status 400 or 422)."""
 
-    def __init__(self, tariffs: Mapping[str, float], customers: Sequence[str], catalogue: Catalogue) -> None:
-        self.tariffs = {name: (i, outer_ms) for i, (name, outer_ms) in enumerate(tariffs.items())}
-        self.customers = {name: i for i, name in enumerate(customers)}
+    def __init__(
+        self,
+        tariffs: Mapping[str, float],
+        customers: Sequence[str],
+        catalogue: Catalogue,
+        places: Mapping[str, int] | None = None,
+        names: Mapping[str, int] | None = None,
+    ) -> None:
+        """`places` and `names`: the indices of tariffs and customers; else in their order."""
+        self.tariffs = {
+            name: (places[name] if places else i, outer_ms)
+            for i, (name, outer_ms) in enumerate(tariffs.items())
+        }
+        self.customers = {name: names[name] if names else i for i, name in enumerate(customers)}
         self.catalogue = catalogue
 
     def read(self, event: Event) -> Ask:
--- a/petrelway/front/host.py
+++ b/petrelway/front/host.py
@@ -16,7 +16,7 @@
 
 from ..choice import FrontEnd
 from ..indices import Ids
-from ..interface import Decision, Listing, Outcome, Stage, Verb, Warmth
+from ..interface import Customer, Decision, Listing, Outcome, Permits, Stage, Tariff, Verb, Warmth
 from ..listing import Line
 from ..wire import codec
 from .links import Link
@@ -156,6 +156,14 @@
 
     # -- inputs
 
+    def terms_told(
+        self, tariffs: list[Tariff], customers: list[Customer], names: list[str], customer_names: list[str],
+        permits: Permits,
+    ) -> None:  # fmt: skip
+        """From now on triggers are taken under these; indices keep their names."""
+        self.front_end.terms_told(self.now(), tariffs, customers, permits)
+        self.tariffs, self.customers = names, customer_names
+
     def take(
         self,
         tariff: int,
--- a/petrelway/front/intake.py
+++ b/petrelway/front/intake.py
@@ -84,11 +84,13 @@
         self.open_bound, self.connections_bound = open_bound, connections_bound
         self.guard: Callable[[Ask], float] = lambda ask: 0.0  # a retry time for what is not to be taken
         self.shut: Callable[[], float] = lambda: 0.0  # and for all, while nothing at all is taken
+        self.terms: Callable[[], float] = lambda: 0.0  # and while it is not known under which terms
         self.leaving = False
         self.connections = 0
         self.counts: Counter[str] = Counter()
         root = resource.Resource()
         root.putChild(b"triggers", Triggers(self))
+        root.putChild(b"ready", Ready(self))
         # danger: a body's type is the event's; read as a form, each POST costs a tenth of a trigger more
         super().__init__(root, timeout=IDLE_S, parsePOSTFormSubmission=False,
                          **({"reactor": reactor} if reactor else {}))
@@ -113,6 +115,22 @@
         self.counts[f"refused {status}"] += 1
 
 
+class Ready(resource.Resource):
+    """GET: 200 while triggers are taken, 503 with why not. What is given up under load is no reason."""
+
+    isLeaf = True
+
+    def __init__(self, intake: Intake) -> None:
+        super().__init__()
+        self.intake = intake
+
+    def render_GET(self, request: server.Request):
+        request.setHeader(b"content-type", b"text/plain; charset=utf-8")
+        why = "leaving" if self.intake.leaving else "its terms are not known" if self.intake.terms() else ""
+        request.setResponseCode(503 if why else 200)
+        return (why or "ready").encode() + b"\n"
+
+
 class Triggers(resource.Resource):
     isLeaf = True
 
@@ -130,6 +148,8 @@
             return self._nack_untaken(request, LEAVING_RETRY_MS)
         if intake.owed() >= intake.open_bound:
             return self._nack_untaken(request, BUSY_RETRY_MS)
+        if (retry_ms := intake.terms()) > 0.0:
+            return self._nack_untaken(request, retry_ms)
         # danger: past its bounds the process would spend on reading events the time that it lacks
         if (retry_ms := intake.shut()) > 0.0:
             return self._nack_untaken(request, retry_ms)
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -11,11 +11,12 @@
 from twisted.internet import defer, interfaces
 
 from ..choice import FrontEnd
-from ..interface import ColdRule, Customer, Effect, Keeping, LoadRation, Permits, Place, Scope, Tariff
+from ..interface import ColdRule, Keeping, LoadRation, Place
 from ..fleet.service import FleetService, Listed, new_token
-from .ask import Ask, Asks, Catalogue
+from . import terms
+from .ask import Ask
 from .dialling import connector
-from .host import Answer, Function, Host
+from .host import Answer, Host
 from .intake import Intake
 from .roster import Follower
 
@@ -25,27 +26,15 @@
 
 def decider(kind: Callable[..., FrontEnd], now: float, seed: int, found: dict[str, Any]) -> FrontEnd:
     """The module's instance for these sections; `kind` is FrontEnd or a baseline of its shape."""
-    place, fleet, permits, keeping = (found[s] for s in ("front_end", "fleet", "permits", "keeping"))
-    cold, ration = found["cold"], found["ration"]
+    place, fleet, keeping = (found[s] for s in ("front_end", "fleet", "keeping"))
+    cold, ration, made = found["cold"], found["ration"], terms.make(found)
     return kind(
         now,
         seed,
         Place(place.number, place.peers, fleet.halls.index(place.hall)),
-        [
-            Tariff(
-                Effect(t.effect), Scope(t.scope), t.window_ms, t.quoted_ms, t.outer_ms, t.payoff, t.late_share
-            )
-            for t in found["tariffs"]
-        ],
-        [Customer(c.portion, c.rate) for c in found["customers"]],
-        Permits(
-            permits.transmissions,
-            permits.second_copies,
-            permits.withdraw,
-            False,
-            False,
-            permits.longest_retry_ms,
-        ),
+        made.tariffs,
+        made.customers,
+        made.permits,
         Keeping(
             keeping.answers_miss,
             keeping.orders,
@@ -90,7 +79,7 @@
     ) -> None:
         """`note` writes a rehearsal's record of what the fleet's members held and used."""
         self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
-        self.note, self.fleet = note, None
+        self.note, self.fleet, self.policy = note, None, None
         self.ahead_s: float | None = None  # the system's clock before this process's own
         self.clock_watch = None
         self.process = process or uuid.uuid4().hex[:12]
@@ -102,13 +91,14 @@
         process = self.process
         chance = random.Random(f"{place.seed}/{place.name}/links")
         now = self.reactor.seconds() * 1e3
+        self.made = terms.make(found)
         self.host = Host(
             self.reactor,
             decider(self.kind, now, place.seed, found),
             place.name,
             process,
-            [t.name for t in found["tariffs"]],
-            [c.name for c in found["customers"]],
+            self.made.tariff_names,
+            self.made.customer_names,
             fleet.halls,
             fleet.machines,
             found["keeping"].order_timeout_ms,
@@ -119,12 +109,9 @@
         )
         if "peers" in found:
             self._join(found["peers"], place.name)
-        asks = Asks(
-            {t.name: t.outer_ms for t in found["tariffs"]},
-            [c.name for c in found["customers"]],
-            Catalogue([Function(f.name, f.memory_mb, f.lanes, f.load_ms) for f in found["functions"]]),
-        )
-        self.intake = Intake(asks, self._take, lambda: self.host.owed, self.log)
+        self.intake = Intake(self.made.asks, self._take, lambda: self.host.owed, self.log)
+        if self.policy is not None:
+            self.intake.terms = self.policy.look
         listen = found["listen"]
         self.port = self.reactor.listenTCP(listen.port, self.intake, backlog=512, interface=listen.address)
         roster = found["roster"]
@@ -158,10 +145,51 @@
             lambda part: host.front_end.part_told(host.now(), part),
             self.note,
         )
+        if "policy" in self.found:
+            self._vote(self.found["policy"])
         self.fleet.startService()
+        if self.policy is not None:
+            try:
+                self.policy.startService()
+            except Exception:
+                self.fleet.stopService()
+                raise
         if self.note is not None and isinstance(host.front_end, FrontEnd):
             note_uses(host.front_end, self.note)
 
+    def _vote(self, wanted) -> None:
+        """Terms that are changed by all members or by none."""
+        from ..policy.adopter import Terms
+        from ..policy.document import canonical, digest
+        from ..policy.service import PolicyService
+
+        document = canonical(self.found)
+        self.policy = PolicyService(
+            self.reactor, self.fleet, wanted.keepers, wanted.file,
+            Terms(0, digest(document), (self.made, document)), document, self._made, self._adopted, self.log,
+            self.note,
+        )  # fmt: skip
+        self.fleet.door, self.fleet.versions = self.policy.door, self.policy.others_run
+
+    def _made(self, document: str) -> tuple[Any, bool]:
+        """All that taking triggers under this document needs. Raises ValueError."""
+        from ..policy.document import read
+        from ..settings.reading import SettingsFault
+
+        try:
+            found = read(document, self.found)
+        except SettingsFault as fault:
+            raise ValueError(str(fault)) from fault
+        return (terms.make(found, self.made), document), found["adoption"].silent == "stop"
+
+    def _adopted(self, told) -> None:
+        """One assignment for each part, in one turn, after all that can fail has been done."""
+        made = self.made = told.made[0]
+        self.host.terms_told(
+            made.tariffs, made.customers, made.tariff_names, made.customer_names, made.permits
+        )
+        self.intake.asks = made.asks
+
     def watch_clock(self, wall: Callable[[], float]) -> None:
         """Say it when the system's clock was stepped. Danger: this process's own never steps, and start times
         of executors, which the list tells by the system's, are off by as much until it starts again."""
@@ -173,6 +201,10 @@
         self.clock_watch = self.reactor.callLater(CLOCK_LOOK_S, self.watch_clock, wall)
 
     def _take(self, ask: Ask, content_type: str, body: bytes) -> defer.Deferred[Answer]:
+        if self.policy is not None and self.note is not None:
+            under = self.policy.terms
+            self.note("took", fe=self.found["front_end"].name, version=under.version, digest=under.digest,
+                      m=ask.mark)  # fmt: skip
         return self.host.take(
             ask.tariff,
             ask.customer,
@@ -193,8 +225,10 @@
         self.log.info("front end leaves", owed=owed)
         self.intake.leaving = True  # connections that are kept open get nacks
         yield defer.maybeDeferred(self.port.stopListening)
+        if self.policy is not None:
+            self.policy.leaving()
         wait = self.host.nothing_owed()
-        longest = max(t.outer_ms for t in self.found["tariffs"]) + LEAVE_SLACK_MS
+        longest = self.made.longest_ms + LEAVE_SLACK_MS
         timer = self.reactor.callLater(longest / 1e3, wait.cancel)
         try:
             yield wait
@@ -208,6 +242,8 @@
         if self.clock_watch is not None and self.clock_watch.active():
             self.clock_watch.cancel()
         self.host.close()
+        if self.policy is not None:
+            self.policy.stopService()
         if self.fleet is not None:
             yield defer.maybeDeferred(self.fleet.stopService)
         self.log.info(
--- /dev/null
+++ b/petrelway/front/terms.py
@@ -0,0 +1,70 @@
+"""The operators' terms as the host, the module and the intake need them; made before they are needed."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from ..interface import Customer, Effect, Permits, Scope, Tariff
+from .ask import Asks, Catalogue
+from .host import Function
+
+PLACES_BOUND = 10_000  # tariffs, or customers, that one process may have known
+
+
+class Terms(NamedTuple):
+    """What triggers are taken under from one turn on."""
+
+    asks: Asks
+    tariffs: list[Tariff]
+    customers: list[Customer]
+    tariff_names: list[str]
+    customer_names: list[str]
+    permits: Permits
+    quoted_ms: dict[str, float]
+    longest_ms: float  # the longest outer limit
+
+
+def permits_of(told: Any) -> Permits:
+    return Permits(
+        told.transmissions, told.second_copies, told.withdraw, False, False, told.longest_retry_ms
+    )
+
+
+def make(found: dict[str, Any], before: Terms | None = None) -> Terms:
+    """From checked sections. A name keeps its index for as long as the process lives: triggers that are open
+    name tariffs and customers that may be dropped. Raises ValueError past PLACES_BOUND."""
+    tariffs, places = list(before.tariffs) if before else [], _places(before and before.tariff_names)
+    for t in found["tariffs"]:
+        tariff = Tariff(Effect(t.effect), Scope(t.scope), t.window_ms, t.quoted_ms, t.outer_ms, t.payoff,
+                        t.late_share)  # fmt: skip
+        _put(tariffs, places, t.name, tariff)
+    # what was dropped has no share any more
+    customers = [Customer(0.0, 0.0)] * (len(before.customers) if before else 0)
+    names = _places(before and before.customer_names)
+    for c in found["customers"]:
+        _put(customers, names, c.name, Customer(c.portion, c.rate))
+    for what, some in (("tariffs", places), ("customers", names)):
+        if len(some) > PLACES_BOUND:
+            raise ValueError(f"{what}: found {len(some)} names since this process started; allowed: "
+                             f"{PLACES_BOUND}; start it again")  # fmt: skip
+    functions = [Function(f.name, f.memory_mb, f.lanes, f.load_ms) for f in found["functions"]]
+    asks = Asks(
+        {t.name: t.outer_ms for t in found["tariffs"]}, [c.name for c in found["customers"]],
+        Catalogue(functions), places, names,
+    )  # fmt: skip
+    quoted_ms = {**(before.quoted_ms if before else {}), **{t.name: t.quoted_ms for t in found["tariffs"]}}
+    longest_ms = max([before.longest_ms if before else 0.0, *(t.outer_ms for t in found["tariffs"])])
+    return Terms(asks, tariffs, customers, list(places), list(names), permits_of(found["permits"]), quoted_ms,
+                 longest_ms)  # fmt: skip
+
+
+def _places(names: list[str] | None) -> dict[str, int]:
+    return {name: i for i, name in enumerate(names or [])}
+
+
+def _put(some: list, places: dict[str, int], name: str, value: Any) -> None:
+    if name in places:
+        some[places[name]] = value
+    else:
+        places[name] = len(some)
+        some.append(value)
--- /dev/null
+++ b/petrelway/policy/service.py
@@ -0,0 +1,331 @@
+"""Terms on sockets: words to and from the members' ports, a keeper's file, the moment of a change.
+
+Only I/O stands here; what holds and what follows from it is in party.py and what that is made of. Words go
+over the members' control ports, by a connection from each side that is opened when there is something to say;
+one that is lost is said again by whoever needs it.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.application import service
+from twisted.internet import interfaces, protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from ..fleet.service import CALLERS_BOUND, Dial, FleetService, Listed
+from ..wire.framing import Frames, WireFault
+from . import ledger as ledgers
+from .adopter import Serving, Terms
+from .changes import Try
+from .keepers import Role
+from .party import Keep, Party
+from .store import Store
+from .words import WORD_BOUND, Progress, Propose, WordFault, read, write
+
+IDLE_S = 10.0  # a connection on which nothing is said is closed
+DIAL_S = 2.0
+WAITING_BOUND = 64  # words that wait for a connection; more are lost, the oldest first
+AGAIN_S = 0.1  # a peer that could not be reached is dialled again no sooner
+REASONS_BOUND = 32  # reasons for dropped words that are logged
+
+
+class Hearing(protocol.Protocol):
+    """Somebody says words, or looks whether this process is there."""
+
+    timer = None
+
+    def connectionMade(self) -> None:
+        self.frames = Frames(WORD_BOUND)
+        self.factory.hearing.add(self)
+        if len(self.factory.hearing) > self.factory.bound:
+            self.transport.abortConnection()
+        else:
+            self.timer = self.factory.reactor.callLater(IDLE_S, self.transport.abortConnection)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            for payload in self.frames.feed(data):
+                self.factory.came(payload)
+        except WireFault:
+            self.factory.dropped("too long")
+            self.transport.abortConnection()
+            return
+        if self.timer is not None and self.timer.active():
+            self.timer.reset(IDLE_S)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.factory.hearing.discard(self)
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
+class Door(protocol.Factory):
+    """The members' control port, where terms are changed by words."""
+
+    noisy, protocol = False, Hearing
+
+    def __init__(self, reactor, members: int, came: Callable[[bytes], None],
+                 dropped: Callable[[str], None]) -> None:
+        self.reactor, self.came, self.dropped = reactor, came, dropped
+        self.hearing: set[Hearing] = set()
+        self.bound = CALLERS_BOUND + 2 * members
+
+    def close(self) -> None:
+        for each in list(self.hearing):
+            each.transport.abortConnection()
+
+
+@implementer(interfaces.IPushProducer)
+class Saying(protocol.Protocol):
+    """A connection to a peer; it says nothing back here."""
+
+    def connectionMade(self) -> None:
+        self.transport.registerProducer(self, True)
+        self.factory.up(self.transport)
+
+    def pauseProducing(self) -> None:
+        self.factory.full = True
+
+    def resumeProducing(self) -> None:
+        self.factory.full = False
+
+    def stopProducing(self) -> None:
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self.factory.down()
+
+
+class Way(protocol.ClientFactory):
+    """Words to one peer."""
+
+    noisy, protocol = False, Saying
+
+    def __init__(self, reactor, peer: Listed) -> None:
+        self.reactor, self.peer = reactor, peer
+        self.waiting: deque[bytes] = deque(maxlen=WAITING_BOUND)
+        self.transport = self.connector = self.idle = None
+        self.again_s, self.full = 0.0, False
+
+    def say(self, data: bytes) -> None:
+        if self.transport is not None:
+            if not self.full:  # danger: what a stopped peer does not take would pile up; it is lost instead
+                self.transport.write(data)
+                self.idle.reset(IDLE_S / 2)
+            return
+        self.waiting.append(data)
+        if self.connector is None and self.reactor.seconds() >= self.again_s:
+            self.connector = self.reactor.connectTCP(self.peer.address, self.peer.port, self, timeout=DIAL_S)
+
+    def up(self, transport) -> None:
+        self.transport, self.full = transport, False
+        transport.setTcpNoDelay(True)
+        self.idle = self.reactor.callLater(IDLE_S / 2, transport.abortConnection)
+        transport.write(b"".join(self.waiting))
+        self.waiting.clear()
+
+    def down(self) -> None:
+        self.transport = self.connector = None
+        if self.idle is not None and self.idle.active():
+            self.idle.cancel()
+
+    def clientConnectionFailed(self, connector, reason: Failure) -> None:
+        self.connector = None
+        self.waiting.clear()
+        self.again_s = self.reactor.seconds() + AGAIN_S
+
+    def close(self) -> None:
+        self.waiting.clear()
+        if self.connector is not None:
+            self.connector.disconnect()
+
+
+class PolicyService(service.Service):
+    """One front end's part in the fleet's terms."""
+
+    def __init__(self, reactor, fleet: FleetService, keepers: list[str], file: str, own: Terms, document: str,
+                 make: Callable[[str], tuple[Any, bool]], adopted: Callable[[Terms], None], log,
+                 note: Callable[..., Any] | None = None) -> None:
+        """`own`: version 0, what the settings say, with its `document`. `adopted` hears the terms in the turn
+        in which they begin to hold. `file`: of a keeper, else empty."""
+        self.reactor, self.fleet, self.names, self.file = reactor, fleet, tuple(keepers), file
+        self.own, self.document, self.make, self.adopted = own, document, make, adopted
+        self.log, self.note = log, note
+        self.name = fleet.me.name
+        self.ways = {p.name: Way(reactor, p) for p in fleet.peers.values()}
+        self.door = Door(reactor, len(self.ways) + 1, self._came, self._dropped)
+        self.store: Store | None = None
+        self.counts: Counter[str] = Counter()
+        self.terms, self.wake, self.pulling = own, None, False
+
+    def now(self) -> float:
+        return self.reactor.seconds() * 1e3
+
+    def startService(self) -> None:
+        """After the control port is listened on, before anything is taken. Raises StoreFault."""
+        if self.name in self.names:
+            self.store = Store(self.file, self.fleet.fleet, self.name)
+        members = [self.name, *self.ways]
+        self.party = Party(self.now(), self.name, self.fleet.token, members, self.names, self.own, self.make,
+                           self.store.kept if self.store else None)  # fmt: skip
+        super().startService()
+        self.pull()
+
+    # -- what is heard
+
+    def _came(self, payload: bytes) -> None:
+        try:
+            said = read(payload)
+            if said.fleet != self.fleet.fleet:
+                raise WordFault("another fleet")
+            if said.name not in self.ways:
+                raise WordFault("no member's name")
+        except WordFault as fault:
+            self._dropped(str(fault))
+            return
+        if self.running:
+            self.party.heard(self.now(), said.name, said.token, said.body)
+            self.pull()
+
+    def _dropped(self, why: str) -> None:
+        self.counts[f"dropped: {why}"] += 1
+        if self.counts[f"dropped: {why}"] == 1 and len(self.counts) <= REASONS_BOUND:
+            self.log.warning("word on terms dropped", why=why)
+
+    def others_run(self, version: int) -> None:
+        """A member's datagram tells its version."""
+        if self.running and version > self.terms.version:
+            self.party.others_run(self.now(), version)
+            self.pull()
+
+    # -- the turn
+
+    def pull(self) -> None:
+        """Carry out decisions until there is none. Danger: what the disk has not kept must not be said."""
+        if self.pulling or not self.running:
+            return
+        self.pulling = True
+        try:
+            while (d := self.party.decide(self.now())) is not None:
+                if isinstance(d, Keep):
+                    self._keep(d)
+                elif isinstance(d, Try):
+                    self._try(d.to)
+                elif d.to in self.ways:
+                    self._say(d.to, d.word)
+        finally:
+            self.pulling = False
+        self.look()
+        while self.party.said:
+            what, more = self.party.said.popleft()
+            loud = what in ("keeps no more", "keepers are behind", "can't run under what holds")
+            (self.log.error if loud else self.log.info)(f"terms: {what}", **more)
+        if self.wake is not None and self.wake.active():
+            self.wake.cancel()
+        wait_ms = self.party.due_ms(self.now()) - self.now()
+        self.wake = self.reactor.callLater(min(max(wait_ms, 1.0), 60_000.0) / 1e3, self.pull)
+
+    def _keep(self, d: Keep) -> None:
+        try:
+            self.store.keep(d.kept, d.since)
+        except (sqlite3.Error, OSError) as problem:
+            self.log.error("keeper's file can't be written", file=self.file, problem=str(problem))
+            self.party.disk_failed(self.now())
+            self.store.close()
+            self.store = None
+
+    def _say(self, to: str, word: Any) -> None:
+        self.counts[f"said {type(word).__name__}"] += 1
+        try:
+            data = write(self.fleet.fleet, self.name, self.fleet.token, word)
+        except WordFault as fault:
+            self._dropped(f"not said: {fault}")
+            return
+        self.counts["bytes said"] += len(data)
+        self.ways[to].say(data)
+
+    def _try(self, name: str) -> None:
+        peer, began_ms = self.ways.get(name), self.now()
+        if peer is None:
+            return
+
+        def done(refused: bool) -> None:
+            if self.running:
+                self.party.tried(self.now(), name, began_ms, refused)
+                self.pull()
+
+        self.reactor.connectTCP(peer.peer.address, peer.peer.port, Dial(done), timeout=DIAL_S)
+
+    # -- what holds
+
+    def look(self) -> float:
+        """0 if a trigger may be taken in this turn, under `terms`; else a time to come back (ms)."""
+        terms, retry_ms = self.party.terms(self.now())
+        if terms is None:
+            return max(1.0, retry_ms)
+        if terms is not self.terms:
+            self.terms = terms
+            self.fleet.members.version = terms.version
+            self.adopted(terms)
+        return 0.0
+
+    # -- operators
+
+    def wished(self, propose: Propose) -> Progress:
+        progress = self.party.wished(self.now(), propose)
+        self.pull()
+        return progress
+
+    def recall(self) -> None:
+        self.party.recall(self.now())
+        self.pull()
+
+    def history(self) -> ledgers.Ledger | None:
+        """As far as it is known here: a keeper's own, or what was last recalled."""
+        if self.party.keeper is not None and self.party.keeper.role is not Role.BLANK:
+            return self.party.keeper.ledger
+        return ledgers.read(self.party.recalled[1]) if self.party.recalled else None
+
+    def seen(self) -> dict[str, Any]:
+        """For operators."""
+        now, a, k = self.now(), self.party.adopter, self.party.keeper
+        state = self.party.state(now)
+        return {
+            "version": a.terms.version,
+            "digest": a.terms.digest,
+            "serving": state not in (Serving.ASKS, Serving.WAITS, Serving.LAPSED),
+            "state": state.value,
+            "why not": a.refused,
+            "settings differ": a.unlike,
+            "promised for": a.promise.terms.version if a.promise else None,
+            "changes over in ms": round(a.change.start_ms - now, 1) if a.change else None,
+            "lease s": round((a.lease_ms - now) / 1e3, 1) if a.terms.stop else None,
+            "keepers": list(k.keepers() if k else a.keepers or self.names),
+            "leader": k.leader if k else self.party.leader,
+            "keeper": f"{k.role.value}, term {k.term}, {k.commit} of {k.last} entries" if k else "",
+            "document": a.terms.made[1] if a.terms.version else self.document,
+            "own document": self.document,
+            "counts": dict(sorted((self.counts + self.party.counts).items())),
+        }
+
+    # -- the end
+
+    def leaving(self) -> None:
+        """This process takes nothing more."""
+        self.party.leave(self.now())
+        self.pull()
+
+    def stopService(self) -> None:
+        super().stopService()
+        if self.wake is not None and self.wake.active():
+            self.wake.cancel()
+        for way in self.ways.values():
+            way.close()
+        self.door.close()
+        if self.store is not None:
+            self.store.close()
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import secrets
 import signal
 import socket
 import sys
@@ -97,7 +98,10 @@
     }
     if consoles:
         plan["ports"]["consoles"] = own.draw(fronts)
-    if tree.get("fleet_troubles") or tree["fleet"].get("members"):
+        token = folder / "console.token"
+        token.write_text(secrets.token_hex(16))
+        token.chmod(0o600)
+    if tree.get("fleet_troubles") or tree["fleet"].get("members") or tree["fleet"].get("keepers"):
         plan["ports"]["peers"] = own.draw(fronts)
         plan["ports"]["straits"], plan["ports"]["control"] = own.draw(2)
     (folder / "plan.json").write_text(json.dumps(plan))
@@ -115,7 +119,10 @@
         if other_ways(plan.day):
             settings["roster"] = {"port": plan.ports["straits"], "address": narrow(i, ROSTER)}
         if consoles := plan.ports.get("consoles"):
-            settings["console"] = {"port": consoles[i]}
+            settings["console"] = {"port": consoles[i], "token_file": str(plan.folder / "console.token")}
+        if keepers := plan.day["fleet"].keepers:
+            names = [f"front-{n}" for n in range(keepers)]
+            settings["policy"] = {"keepers": names, "file": str(plan.folder / f"front-{i}.terms")}
         files[-1].write_text(json.dumps(settings, indent=1))
     return files
 
--- a/petrelway/settings/days.py
+++ b/petrelway/settings/days.py
@@ -83,6 +83,7 @@
     kinds: Annotated[list[MachineKind], Meta(min_length=1, max_length=20)]
     fronts: Annotated[int, Meta(ge=1, le=5_000)] = 3
     members: bool = False  # front ends know each other; so they do on a day with fleet_troubles
+    keepers: Annotated[int, Meta(ge=0, le=7)] = 0  # so many keep the terms, which can be changed then; odd
     workers: bool = False  # real worker processes in place of the stand-in executors
     cell_size: Annotated[int, Meta(ge=1, le=500)] = 4
     loads_at_once: Annotated[int, Meta(ge=1, le=64)] = 4
--- a/petrelway/settings/front.py
+++ b/petrelway/settings/front.py
@@ -129,6 +129,13 @@
     address: Name = "127.0.0.1"
 
 
+class PolicyWanted(Strict):
+    """The members that keep the history of the terms, and this one's file where it is one of them."""
+
+    keepers: Annotated[list[Name], Meta(min_length=3, max_length=7)]
+    file: str = ""
+
+
 class LogWanted(Strict):
     level: Literal["debug", "info", "warning", "error"] = "info"
     form: Literal["json", "console"] = "json"
@@ -151,8 +158,11 @@
     "console": ConsoleWanted,
     "guard": SelfGuard,
     "peers": PeersWanted,
+    "policy": PolicyWanted,
 }
-OPTIONAL = frozenset(("customers", "permits", "keeping", "ration", "log", "console", "guard", "peers"))
+OPTIONAL = frozenset(
+    ("customers", "permits", "keeping", "ration", "log", "console", "guard", "peers", "policy")
+)
 
 
 def read_front_end(file: str) -> dict[str, Any]:
@@ -207,6 +217,23 @@
     return faults
 
 
+def _between_policy(
+    place: FrontEndPlace, policy: PolicyWanted, peers: PeersWanted | None
+) -> list[Fault]:
+    if peers is None:
+        return [Fault("policy", "no section peers", "one: members that know each other change terms")]
+    faults, names = [], [place.name, *(m.name for m in peers.members)]
+    if len(policy.keepers) % 2 == 0 or len(set(policy.keepers)) != len(policy.keepers):
+        found = f"{len(policy.keepers)} ({', '.join(policy.keepers)})"
+        faults.append(Fault("policy.keepers", found, "3, 5 or 7 names, each once"))
+    for i, name in enumerate(policy.keepers):
+        if name not in names:
+            faults.append(Fault(f"policy.keepers[{i}]", repr(name), "a member of the section peers"))
+    if place.name in policy.keepers and not policy.file:
+        faults.append(Fault("policy.file", "nothing", "a file of its own: this front end is a keeper"))
+    return faults
+
+
 def between(found: dict[str, Any]) -> list[Fault]:
     """What must hold between values that are each well formed."""
     faults = []
@@ -219,6 +246,8 @@
         faults.append(Fault("front_end.number", str(place.number), f"0 to peers - 1 = {place.peers - 1}"))
     if "peers" in found:
         faults += _between_peers(place, found["peers"])
+    if "policy" in found:
+        faults += _between_policy(place, found["policy"], found.get("peers"))
     for section in ("tariffs", "customers", "functions"):
         seen: set[str] = set()
         for i, each in enumerate(found[section]):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -104,7 +104,7 @@
 
 
 @given(st.builds(Word, st.sampled_from(Kind), ids, ids, starts, ids, ids, ids, ids,
-                 st.lists(said, max_size=words.NEWS_MOST).map(tuple)))  # fmt: skip
+                 st.lists(said, max_size=words.NEWS_MOST).map(tuple), ids))  # fmt: skip
 def test_every_word_fits_and_comes_back(some):
     data = words.write(some)
     assert len(data) <= words.DATAGRAM_BOUND and words.read(data) == some
