--- a/petrelway/commands/policies.py
+++ b/petrelway/commands/policies.py
@@ -154,7 +154,7 @@
 @JSON
 def history(console: str, as_json: bool) -> None:
     """All versions, newest first, and changes that were given up."""
-    found = seen(console)
+    found = seen(console, history="1")
     if as_json:
         click.echo(json.dumps({"rows": found["rows"], "ended": found["ended"]}))
         return
--- a/petrelway/console/pages.py
+++ b/petrelway/console/pages.py
@@ -127,13 +127,15 @@
 
 
 def policy(d: Any, asked: dict[str, str]) -> Generator[Any, None, dict[str, Any]]:
-    """The terms: which version holds here and whether triggers are taken under it; `?history=1`: the history
-    as the keepers tell it, `?document=N`: one version's document."""
+    """The terms: which version holds here and whether triggers are taken under it; with the history, on
+    a member that keeps nothing only as it was told last; `?history=1` asks anew, `?document=N` for one
+    version's document."""
     yield
     if d.policy is None:
         return {"version": None, "rows": [], "of": 0, "from": 0, "search": ""}
     seen = d.policy.seen()
-    if d.policy.party.keeper is None:
+    wanted = asked.get("document", "")
+    if d.policy.party.keeper is None and (wanted or "history" in asked):
         d.policy.recall()
         for _ in range(HISTORY_LOOKS):
             yield HISTORY_LOOK_MS
@@ -150,7 +152,6 @@
         {"change": short(s.proposal), "version": s.version, "why": short(s.why)}
         for s in reversed(history.settled if history else ())
     ]
-    wanted = asked.get("document", "")
     if wanted:
         found = [v.document for v in (history.versions if history else ()) if str(v.number) == wanted]
         seen["asked document"] = found[0] if found else None
--- a/petrelway/policy/service.py
+++ b/petrelway/policy/service.py
@@ -27,7 +27,8 @@
 from .store import Store
 from .words import WORD_BOUND, Progress, Propose, WordFault, read, write
 
-IDLE_S = 10.0  # a connection on which nothing is said is closed
+IDLE_S = 10.0  # a connection on which nothing is heard is closed
+LIFE_S = 5.0  # a connection is used for so long
 DIAL_S = 2.0
 WAITING_BOUND = 64  # words that wait for a connection; more are lost, the oldest first
 AGAIN_S = 0.1  # a peer that could not be reached is dialled again no sooner
@@ -98,7 +99,7 @@
         self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self.factory.down()
+        self.factory.down(self.transport)
 
 
 class Way(protocol.ClientFactory):
@@ -109,14 +110,13 @@
     def __init__(self, reactor, peer: Listed) -> None:
         self.reactor, self.peer = reactor, peer
         self.waiting: deque[bytes] = deque(maxlen=WAITING_BOUND)
-        self.transport = self.connector = self.idle = None
+        self.transport = self.connector = self.end = None
         self.again_s, self.full = 0.0, False
 
     def say(self, data: bytes) -> None:
         if self.transport is not None:
             if not self.full:  # danger: what a stopped peer does not take would pile up; it is lost instead
                 self.transport.write(data)
-                self.idle.reset(IDLE_S / 2)
             return
         self.waiting.append(data)
         if self.connector is None and self.reactor.seconds() >= self.again_s:
@@ -125,14 +125,21 @@
     def up(self, transport) -> None:
         self.transport, self.full = transport, False
         transport.setTcpNoDelay(True)
-        self.idle = self.reactor.callLater(IDLE_S / 2, transport.abortConnection)
+        self.end = self.reactor.callLater(LIFE_S, self._over, transport)
         transport.write(b"".join(self.waiting))
         self.waiting.clear()
 
-    def down(self) -> None:
+    def _over(self, transport) -> None:
+        """Danger: a connection that came up and on which nothing passes would swallow all that is said."""
         self.transport = self.connector = None
-        if self.idle is not None and self.idle.active():
-            self.idle.cancel()
+        transport.loseConnection()
+        self.end = self.reactor.callLater(DIAL_S, transport.abortConnection)
+
+    def down(self, transport) -> None:
+        if transport is self.transport:
+            self.transport = self.connector = None
+        if self.end is not None and self.end.active() and self.transport is None:
+            self.end.cancel()
 
     def clientConnectionFailed(self, connector, reason: Failure) -> None:
         self.connector = None
@@ -141,6 +148,8 @@
 
     def close(self) -> None:
         self.waiting.clear()
+        if self.end is not None and self.end.active():
+            self.end.cancel()
         if self.connector is not None:
             self.connector.disconnect()
 
