--- a/petrelway/policy/adopter.py
+++ b/petrelway/policy/adopter.py
@@ -183,9 +183,12 @@
             self.terms, self.change = terms, None
         return True
 
-    def alone(self, until_ms: float) -> None:
-        """A majority of the keepers is proved gone: nobody can change anything until then."""
-        self.lease_ms = max(self.lease_ms, until_ms)
+    def keepers_gone(self, now: float, began_ms: float) -> None:
+        """A majority of the keepers was proved gone, by tries that began no sooner. A change without this
+        member needs a majority that has run for longer than a lease, so none can have been decided from then
+        on for the time of a lease. Danger: once the lease has run out one may have been, before."""
+        if now < self.lease_ms:
+            self.lease_ms = max(self.lease_ms, began_ms + LEASE_MS)
 
     # -- what it asks
 
--- a/petrelway/policy/party.py
+++ b/petrelway/policy/party.py
@@ -173,6 +173,13 @@
         """Ask a keeper for the history; it comes to `recalled`."""
         self.out.append(Tell(self._whom(), Recall(asked_ms=now)))
 
+    def proved_gone(self, now: float, began_ms: dict[str, float]) -> None:
+        """Members whose ports refused tries that began then."""
+        names = self.adopter.keepers or self.names
+        latest = sorted((began_ms[name] for name in names if name in began_ms), reverse=True)
+        if 2 * len(latest) > len(names):
+            self.adopter.keepers_gone(now, latest[len(names) // 2])
+
     def others_run(self, now: float, version: int) -> None:
         """Another member says that it runs under this version: is this one's over?"""
         if version > max(self.newer, self.adopter.terms.version) and self.adopter.change is None:
--- a/petrelway/policy/service.py
+++ b/petrelway/policy/service.py
@@ -219,6 +219,10 @@
         if self.pulling or not self.running:
             return
         self.pulling = True
+        if self.terms.stop:
+            fleet = self.fleet
+            proofs = {fleet.peers[m.id].name: m.refused_ms for m in fleet.members.proved(self.now())}
+            self.party.proved_gone(self.now(), proofs)
         try:
             while (d := self.party.decide(self.now())) is not None:
                 if isinstance(d, Keep):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -480,6 +480,29 @@
     assert kept(c) == []
 
 
+@pytest.mark.parametrize("proved, serve", [(3, True), (2, True), (1, False), (0, False)])
+def test_a_lease_goes_on_while_a_majority_of_the_keepers_is_proved_gone(proved, serve):
+    c = council()
+    assert c.change("p", 0, STOP).state == "adopted"
+    for number in range(3):
+        c.kill(number)
+    for _ in range(20):
+        for one in c.ones.values():
+            one.party.proved_gone(one.now(), {f"front-{n}": one.now() for n in range(proved)})
+        c.sim.run(c.sim.now_s + 1.0)
+    assert {o.party.terms(o.now())[0] is not None for o in c.ones.values()} == {serve}
+
+
+def test_a_lease_that_has_run_out_is_not_begun_again_by_a_proof():
+    a = member()
+    a.told(1.0, told(1, 3, 2, 0.0, STOP))
+    a.keepers_gone(5000.0, 4999.0)
+    assert a.state(5001.0) is Serving.LAPSED
+    a.told(1.0, told(1, 3, 2, 1000.0, STOP))
+    a.keepers_gone(5000.0, 4000.0)
+    assert a.state(8999.0) is Serving.SERVES and a.state(9000.0) is Serving.LAPSED
+
+
 def lease_kept(over_ms, monkeypatch):
     """One that is cut off, whose clock is slow by the bound, the others' fast by it."""
     monkeypatch.setattr(changes, "LEASE_OVER_MS", over_ms)
--- a/tests/test_policy_process.py
+++ b/tests/test_policy_process.py
@@ -354,6 +354,19 @@
     fleet.until(lambda: fleet.all_run(version + 2))
 
 
+def test_all_keepers_killed_stop_nobody_who_serves_on_a_lease(fleet):
+    assert fleet.change(13.8, silent="stop")["state"] == "adopted"
+    for number in range(3):
+        fleet.kill(number)
+    for _ in range(12):
+        time.sleep(1.0)
+        assert all(fleet.seen(n)["serving"] for n in range(3, SIZE))
+    for number in range(3):
+        fleet.start(number)
+    fleet.until(fleet.all_serve, 60.0)
+    assert fleet.change(13.9)["state"] == "adopted"
+
+
 def test_all_keepers_are_killed_at_once_and_started_again(fleet):
     version = fleet.version()
     for number in range(3):
