A document is told once to each; what the history's words may hold

Cause, by reading: each renewal of a promise and each answer carried the whole document, at 300 members and 256 KiB some 77 MB a second; eight entries of two documents each would not fit into one word, and would never reach a keeper that is behind. Change: no document where the member has it, four entries a word. status tells the terms.

--- a/petrelway/commands/looks.py
+++ b/petrelway/commands/looks.py
@@ -45,6 +45,8 @@
             f"gives up: {own['gives up']}; lag {own['lag ms']} ms; {own['open triggers']} open, "
             f"{own['held']} waiting for a place, {own['orders and loads']} loads"
         )
+        if own["terms"]:
+            click.echo(f"terms: {own['terms']}")
         click.echo(
             f"last minute: {minute.get('taken', 0)} taken, "
             f"{100 * minute.get('share in time', 0):.1f}% in time, "
--- a/petrelway/policy/adopter.py
+++ b/petrelway/policy/adopter.py
@@ -116,6 +116,8 @@
         self.look(now)
         if self.leaving or word.token != self.token or word.term < self.term or word.index <= self.settled:
             return None  # for another process, from a leader that is none any more, or over
+        if not word.document and (self.promise is None or self.promise.index != word.index):
+            return None
         self.term = word.term
         promise, why = self.promise, ""
         if promise is None or promise.index != word.index:
@@ -167,6 +169,8 @@
         promise = self.promise
         if promise is not None and promise.index <= self.settled and promise.terms.digest == word.digest:
             terms = promise.terms
+        elif not word.document:
+            return False  # it is told anew, once it asks
         else:
             try:
                 made, stop = self.make(word.document)
--- a/petrelway/policy/changes.py
+++ b/petrelway/policy/changes.py
@@ -53,7 +53,8 @@
         self.left = False  # it said so, and so its port will refuse
         self.told_ms = self.tried_ms = -math.inf
         self.at = self.version = -1  # the state it has heard, the version it runs under
-        self.asks: tuple[int, float, int] | None = None  # token, its time, the round that must be through
+        # token, its time, the version it has, the round that must be through
+        self.asks: tuple[int, float, int, int] | None = None
 
     def ahead(self, now: float) -> tuple[float, float]:
         """Its clock before this one's, at least and at most."""
@@ -99,7 +100,7 @@
             if word.leaving:  # danger: it may come late, from a process before the present one: ask back
                 self.out.append(Tell(sender, Look(term=self.keeper.term, sent_ms=now)))
                 return
-            o.asks = token, word.asked_ms, self.keeper.confirm(now)
+            o.asks = token, word.asked_ms, word.version, self.keeper.confirm(now)
         elif word.term != self.keeper.term:
             return
         elif isinstance(word, Under):
@@ -164,15 +165,15 @@
         majority must have heard it since; and one told to serve while a change is decided without it would
         serve under the old terms."""
         for name, o in self.others.items():
-            if o.asks is None or not self.keeper.confirmed(o.asks[2]) or self.closing:
+            if o.asks is None or not self.keeper.confirmed(o.asks[3]) or self.closing:
                 continue
-            token, asked_ms, _ = o.asks
+            token, asked_ms, has, _ = o.asks
             if self._moment(name, token) is None and now < self._in_force_ms():
                 continue
             o.asks = None
             self._heard_of(o, token)
             o.joined_ms = now
-            self.out.append(Tell(name, self._told(name, o, asked_ms)))
+            self.out.append(Tell(name, self._told(name, o, asked_ms, has == self.keeper.ledger.version)))
 
     def _in_force_ms(self) -> float:
         """From when on the present version is in force everywhere; -inf where nothing was ever decided."""
@@ -182,13 +183,15 @@
         some = self.keeper.ledger.moments
         return next((m for m in some if m.name == name and m.token == token), None)
 
-    def _told(self, name: str, o: Other, asked_ms: float) -> Told:
+    def _told(self, name: str, o: Other, asked_ms: float, has: bool) -> Told:
+        """`has`: the member has the document. Danger: told again and again to hundreds, a large one would take
+        all that the leader can say."""
         ledger = self.keeper.ledger
         present = ledger.present()
         return Told(
             term=self.keeper.term, token=o.token, at=ledger.at, settled=ledger.last_settled,
             version=ledger.version, digest=present.digest if present and present.number else self.own_digest,
-            document=present.document if present and present.number else "",
+            document=present.document if present and present.number and not has else "",
             keepers=self.keeper.keepers(), asked_ms=asked_ms, moment=self._moment(name, o.token),
         )  # fmt: skip
 
@@ -199,7 +202,7 @@
                 continue
             if o.token and (self._moment(name, o.token) is not None or now >= self._in_force_ms()):
                 o.told_ms = now
-                self.out.append(Tell(name, self._told(name, o, -1.0)))
+                self.out.append(Tell(name, self._told(name, o, -1.0, o.yes and o.index == self.settled)))
             elif not o.token:
                 self._look(name, o, now)
 
@@ -253,7 +256,8 @@
         base = ledger.present()
         return Prepare(
             term=self.keeper.term, index=ledger.pending.index, version=ledger.version + 1, base=p.base,
-            base_digest=base.digest if base else digest(p.base_document), document=p.document, token=o.token,
+            base_digest=base.digest if base else digest(p.base_document), token=o.token,
+            document="" if o.yes and o.index == ledger.pending.index else p.document,
             by_ms=now + HOLD_MS * (1.0 - DRIFT) + o.ahead(now)[0], sent_ms=now,
         )  # fmt: skip
 
--- a/petrelway/policy/service.py
+++ b/petrelway/policy/service.py
@@ -304,6 +304,10 @@
             return self.party.keeper.ledger
         return ledgers.read(self.party.recalled[1]) if self.party.recalled else None
 
+    def held(self) -> str:
+        """In one line, for operators."""
+        return f"version {self.terms.version}: {self.party.state(self.now()).value}"
+
     def seen(self) -> dict[str, Any]:
         """For operators."""
         now, a, k = self.now(), self.party.adopter, self.party.keeper
--- a/petrelway/policy/words.py
+++ b/petrelway/policy/words.py
@@ -18,7 +18,7 @@
 WORD_BOUND = 4 << 20  # bytes of one word
 DOCUMENT_BOUND = 256 << 10  # bytes of one document
 MEMBERS_BOUND = 5000
-ENTRIES_MOST = 8  # entries in one word
+ENTRIES_MOST = 4  # entries in one word: each may have two documents
 Name = Annotated[str, Meta(max_length=200)]
 Text = Annotated[str, Meta(max_length=2000)]
 Document = Annotated[str, Meta(max_length=DOCUMENT_BOUND)]
@@ -159,7 +159,7 @@
     version: Number
     base: Number
     base_digest: Name
-    document: Document
+    document: Document  # empty where the member has said yes to it
     token: Number
     by_ms: float
     sent_ms: float
@@ -192,7 +192,7 @@
     settled: Number
     version: Number
     digest: Name
-    document: Document  # empty: that of the settings
+    document: Document  # empty: that of the settings, or one that the member has
     keepers: Annotated[tuple[Name, ...], Meta(max_length=9)]
     asked_ms: float
     moment: Moment | None = None
