--- a/petrelway/policy/changes.py
+++ b/petrelway/policy/changes.py
@@ -184,8 +184,8 @@
         return next((m for m in some if m.name == name and m.token == token), None)
 
     def _told(self, name: str, o: Other, asked_ms: float, has: bool) -> Told:
-        """`has`: the member has the document. Danger: told again and again to hundreds, a large one would take
-        all that the leader can say."""
+        """`has`: the member has the document. Danger: told again and again to hundreds, a large one would
+        take all that the leader can say."""
         ledger = self.keeper.ledger
         present = ledger.present()
         return Told(
