--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -252,6 +252,61 @@
     return found
 
 
+AMPLIFIED = {  # load as a share of what the fleet carries, and what happens
+    "busy": (0.85, []),
+    "steady": (1.4, []),
+    "double": (2.2, []),
+    "herd": (0.85, [{"kind": "balancer_crash", "at_s": 6, "len_s": 3, "part": 0.7}]),
+    "hall lost": (0.85, [{"kind": "zone_loss", "at_s": 6, "len_s": 7}]),
+    "aftermath": (0.85, [{"kind": "burst", "at_s": 14, "len_s": 7, "size": 2.2 / 0.85}]),
+}
+
+
+def amplified(word: str, retries: int, seed: int, fronts: int, executors: int) -> dict:
+    """What adds up: tries, transmissions and work for each trigger that a client sends for the first time."""
+    load, troubles = AMPLIFIED[word]
+    found = day("busy", seed, fronts, executors)
+    found["traffic"].update(rate=load * executors * 7.6 / 0.25, retries=retries)
+    found["troubles"] = troubles
+    found["day"]["length_s"] = 40 if word == "aftermath" else SECONDS
+    played = EmulatedDay(found)
+    lines = played.play()
+    sum_ = sums(lines, played.day)
+    return {**sum_["for_each_trigger"], "work in time": sum_["work_in_time"], "service": sum_["service"],
+            "back after s": _back(lines, played.day) if word == "aftermath" else 0.0,
+            "broken": len(judge(lines, figures(played.day)))}  # fmt: skip
+
+
+def _back(lines: list[dict], of: dict) -> float:
+    """Seconds after the burst until service by the second stays within 0.03 of what it was before it."""
+    quoted = {t.name: t.quoted_ms for t in of["tariffs"]}
+    good = {}
+    for x in lines:
+        if x["k"] == "answer" and x["o"] == "fulfilled":
+            good.setdefault(f"{x['_source']}\n{x['id']}", x["t"])
+    seconds: dict[int, list[bool]] = {}
+    for x in lines:
+        if x["k"] == "due":
+            in_time = x["m"] in good and good[x["m"]] - x["at"] <= quoted[x["f"]]
+            seconds.setdefault(int(x["at"] // 1000), []).append(in_time)
+    share = {s: sum(some) / len(some) for s, some in seconds.items()}
+    before = [share[s] for s in range(6, 14)]
+    bad = [s for s in range(21, 40) if share[s] < sum(before) / len(before) - 0.03]
+    return max(bad) + 1 - 21 if bad else 0.0
+
+
+def amplification(fronts: int, executors: int, seeds: int, processes: int | None) -> None:
+    runs = [(w, r, s) for w in AMPLIFIED for r in (2, 6) for s in range(1, seeds + 1)]
+    with ProcessPoolExecutor(processes) as pool:
+        rows = list(pool.map(amplified, *zip(*((*run, fronts, executors) for run in runs))))
+    print(f"{fronts} front ends, {executors} executors, {seeds} seeds; for each trigger first sent")
+    for word in AMPLIFIED:
+        for retries in (2, 6):
+            some = [row for run, row in zip(runs, rows) if run[:2] == (word, retries)]
+            words = [f"{k} {sum(row[k] for row in some) / len(some):.3f}" for k in some[0]]
+            print(f"{word:10} {retries} more tries: " + ", ".join(words), flush=True)
+
+
 def play(name: str, word: str, seed: int, fronts: int, executors: int, series: bool = False) -> dict:
     played = EmulatedDay(day(word, seed, fronts, executors), ANSWERS[name])
     rows: list[dict] = []
@@ -287,9 +342,13 @@
     parser.add_argument("--answers", nargs="+", default=list(ANSWERS), choices=list(ANSWERS))
     parser.add_argument("--days", nargs="+", default=["burst", "steady", "busy"])
     parser.add_argument("--processes", type=int, default=os.cpu_count())
+    parser.add_argument("--amplification", action="store_true", help="what adds up, as it is")
     parser.add_argument("--series", help="a JSON file for the course of the first day")
     asked = parser.parse_args()
     size = asked.fronts, asked.executors
+    if asked.amplification:
+        amplification(*size, asked.seeds, asked.processes)
+        return
     if asked.series:
         found = play(asked.answers[0], asked.days[0], 1, *size, series=True)
         Path(asked.series).write_text(json.dumps(found))
--- a/petrelway/rehearsal/report.py
+++ b/petrelway/rehearsal/report.py
@@ -30,6 +30,8 @@
     outcomes: Counter[str] = Counter()
     warmth: Counter[str] = Counter()
     fetches, cpu_s = 0, 0.0
+    passed: Counter[str] = Counter()  # words that reached executors, by kind
+    ran: Counter[str] = Counter()  # marks that were worked on, each time
     for line in lines:
         kind = line["k"]
         if kind == "due":
@@ -44,9 +46,13 @@
             outcomes[kind] += 1
         elif kind == "fetch":
             fetches += 1
+        elif kind == "ran":
+            ran[line["m"]] += 1
+        elif kind in ("recv", "order", "probe"):
+            passed["second" if kind == "recv" and line["n"] else kind] += 1
         elif kind == "end" and line.get("_file") == "conductor":
             cpu_s = line["cpu_s"]
-    earned = asked = 0.0
+    earned = asked = useful_ms = 0.0
     in_time = late = 0
     took = []
     windows: dict[int, list[float]] = {}
@@ -60,6 +66,7 @@
             took.append(ms)
             if ms <= t.quoted_ms:
                 got, in_time = worth, in_time + 1
+                useful_ms += line["w"] if ran[mark] else 0.0
             elif ms <= t.outer_ms:
                 got, late = worth * t.late_share, late + 1
         asked += worth
@@ -69,6 +76,7 @@
             pair[0] += got
             pair[1] += worth
     took.sort()
+    work_ms = sum(first[mark]["w"] * times for mark, times in ran.items() if mark in first)
     answers = sum(outcomes[o] for o in ("fulfilled", "nacked", "broken off"))
     loads = warmth["began"] + warmth["awaited"]
     return {
@@ -85,10 +93,24 @@
         "found_share": warmth["found"] / max(1, warmth["found"] + loads),
         "outcomes": dict(sorted(outcomes.items())),
         "store_fetches": fetches,
+        "for_each_trigger": {
+            "tries": _each(sum(outcomes.values()), first),
+            "transmissions": _each(passed["recv"] + passed["second"], first),
+            "second": _each(passed["second"], first),
+            "ran": _each(sum(ran.values()), first),
+            "orders": _each(passed["order"], first),
+            "probes": _each(passed["probe"], first),
+        },
+        "work_in_time": round(useful_ms / work_ms, 4) if work_ms else 0.0,
         "front_cpu_ms_per_answer": round(1e3 * cpu_s / max(1, answers), 3),
     }
 
 
+def _each(count: int, first: dict) -> float:
+    """For each trigger that a client sent for the first time."""
+    return round(count / max(1, len(first)), 3)
+
+
 def told_of_fleet(breaches: list | None) -> list[str]:
     """What is said of the front ends as a fleet; nothing where they don't know each other."""
     if breaches is None:
@@ -109,6 +131,8 @@
         f"latency p50 {found['p50_ms']:.0f} ms, p99 {found['p99_ms']:.0f} ms; "
         f"copy found by {found['found_share']:.1%} of the fulfilled; {found['store_fetches']} store fetches",
         "answers to tries: " + ", ".join(f"{k} {v}" for k, v in found["outcomes"].items()),
+        "for each trigger: " + ", ".join(f"{v} {k}" for k, v in found["for_each_trigger"].items())
+        + f"; {found['work_in_time']:.1%} of the executors' work was answered in time",
         f"front ends' CPU {found['front_cpu_ms_per_answer']:.2f} ms an answer",
     ]
     if faults:
