--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -4,9 +4,10 @@
     storm 0 1000    drawn plays of overlapping troubles, judged; a third number: how many front ends
     schedules 2     every schedule of so many troubles, on a small system, side by side
     look            what the look at terms costs a trigger
+    row 100         so many changes in a row under load, nine processes, words late now and then
     kills 500       keepers killed with SIGKILL at random moments under a row of changes, on sockets
 
-Emulated figures but for `look` and `kills`. Each prints its baseline beside it where it has one.
+Emulated figures but for `look`, `row` and `kills`. Each prints its baseline beside it where it has one.
 """
 
 from __future__ import annotations
@@ -223,6 +224,43 @@
     shutil.rmtree(folder)
 
 
+def row(count: int) -> None:
+    """On the fleet of the tests, with its clients and executors."""
+    sys.path.insert(0, str(ROOT / "tests"))
+    from test_policy_process import Fleet
+
+    from petrelway.rules.records import read
+
+    folder = Path(tempfile.mkdtemp(prefix="petrelway-row-"))
+    fleet, took = Fleet(folder, 3000), []
+    chance, end = random.Random(1), Counter()
+    try:
+        for n in range(count):
+            if n % 10 == 5:
+                fleet.strait("delay", size=25, extra=25)
+            elif n % 10 == 9:
+                fleet.clear()
+            began = time.monotonic()
+            end[fleet.change(1.0 + n / 1000, by=chance.randrange(SIZE_OF_FLEET))["state"]] += 1
+            took.append(time.monotonic() - began)
+        time.sleep(5.0)
+        breaches = fleet.judged()
+        lines = list(read(folder))
+    finally:
+        fleet.stop()
+    last = max(x["at"] for x in lines if x["k"] == "due") - 5000.0
+    due = {x["m"] for x in lines if x["k"] == "due" and x["at"] < last}
+    answers = Counter(x["o"] for x in lines if x["k"] == "answer")
+    answered = {f"{x['_source']}\n{x['id']}" for x in lines if x["k"] == "answer"}
+    print(f"{count} changes: {dict(end)}, median {statistics.median(took):.1f} s, longest {max(took):.1f} s;"
+          f" {len(due)} triggers, {len(due - answered)} without an answer; answers {dict(answers)};"
+          f" breaches {len(breaches)}; apart {_apart(lines):.1f} ms at most")  # fmt: skip
+    shutil.rmtree(folder)
+
+
+SIZE_OF_FLEET = 9
+
+
 def _post(port: int, wish: dict) -> dict | None:
     head = {"Authorization": "Bearer " + "t" * 32}
     try:
@@ -238,6 +276,6 @@
 
 if __name__ == "__main__":
     what, *more = sys.argv[1:] or ["calm"]
-    {"calm": calm, "storm": storm, "schedules": schedules, "look": look, "kills": kills}[what](
+    {"calm": calm, "storm": storm, "schedules": schedules, "look": look, "row": row, "kills": kills}[what](
         *(int(x) for x in more)
     )
