The test of a leader that no majority hears fails without its guard

Cause: read again, the test passed with the majority's question taken out, since the new process never asked the cut-off leader. Measured: version 0 is told without the guard, nothing with it.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -555,14 +555,21 @@
     c.wish(5, "p", 0, '{"n":1}', without=(f"front-{leader}", "front-8"))
     c.sim.run(c.sim.now_s + 0.4)
     c.start(8)
+    one = c.ones[8]
+    one.party.leader, one.party.adopter.asked_ms = f"front-{leader}", -1e9  # it asks the old one first
+    one.pull()
     c.sim.run(c.sim.now_s + 20.0)
-    return c.ones[8].party.terms(c.ones[8].now())[0]
+    return one.party.terms(one.now())[0]
 
 
 def test_a_leader_that_no_majority_hears_tells_nobody_to_serve(monkeypatch):
     assert stale_reader(None, monkeypatch) is None
 
 
+def test_without_asking_a_majority_it_would(monkeypatch):
+    assert stale_reader(lambda self, round: self.ready(), monkeypatch).version == 0
+
+
 def test_a_keeper_whose_disk_is_full_keeps_nothing_and_says_so():
     c = council()
     leader = c.leader()
