--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -106,7 +106,7 @@
         self.out: dict[int, Transmission] = {}
         self.sent = 0
         self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
-        self.answered = False  # no answer is owed any more
+        self.answered, self.taken_ms = False, now  # answered: no answer is owed any more
         self.repeat, self.luck = repeat, luck  # its draw where a budget is a fraction of one trigger
         self.tried: set[int] = set()  # executors that failed it
         self.missed: set[int] = set()  # and those that lacked its function
@@ -547,6 +547,8 @@
     def client_gone(self, now: float, trigger: int) -> None:
         if t := self.triggers.get(trigger):
             t.answered = True
+            if t.taken_ms in self.gate.taken:  # danger: hundreds taken back at once would earn orders to load
+                self.gate.taken.remove(t.taken_ms)
             self.attention.append(trigger)
 
     def terms_told(self, now: float, tariffs: list[Tariff], customers: list[Customer],
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -270,3 +270,25 @@
 def test_a_cold_executor_gets_more_by_a_larger_part_and_nothing_by_none():
     own, more, all_of_it = cold_sends(None), cold_sends(0.5), cold_sends(1.0)
     assert cold_sends(0.1) == own < more < all_of_it and cold_sends(0.0) == 0
+
+
+def test_what_is_taken_back_earns_no_orders():
+    """Danger: hundreds asked and taken back at once; the ration counts the requests that it knows of."""
+    host = Host(3, misses=True, ration=(10_000.0, 4.0, 0.2))
+    gate = host.fe.gate
+    e = host.fe.executors[0]
+    gate.ordered.extend([host.now] * 4)  # the free ones are used up
+    for i in range(200):
+        t = host.take(i % 5)
+        host.now += 0.25
+        host.fe.client_gone(host.now, t)
+        assert not gate.order(e, host.now) and not gate.taken
+    stays, goes = [host.take(i) for i in range(5)], [host.take(i) for i in range(5)]
+    for t in goes:
+        host.fe.client_gone(host.now, t)
+    assert stays and len(gate.taken) == 5 and gate.order(e, host.now)  # five others earn one
+    host.now += 10_100.0
+    host.fe.client_gone(host.now, host.take())  # those of the last window are forgotten: nothing is taken off
+    host.fe.client_gone(host.now, stays[0])
+    gate.forget(host.now)
+    assert not gate.taken
