A client that reads no answers is told when to come back; a deep configuration is refused

Seen on rereading: the refusal of a client that does not read its answers carried no time to come back, where one is allowed; a configuration of 100,000 open brackets raised RecursionError out of read_told, a traceback at the start and at SIGHUP instead of one line (msgspec.json.decode raises it, checked).

Change: Door takes that time from the service, within the longest allowed; read_told refuses such bytes. Tests: test_node_door (the refusal, whole), test_node_process (one line, exit 2).

--- a/petrelway/node/door.py
+++ b/petrelway/node/door.py
@@ -154,7 +154,7 @@
             ours = door.calls[passed.call][0] is self
             raise LineFault(number, lines.BAD_PARAMS, "call: open already", last=ours)
         # one that reads no answers gets no further work done for it
-        retry_ms = 0.0 if self.clogged else door.refuse(customer)
+        retry_ms = door.retry_ms if self.clogged else door.refuse(customer)
         if retry_ms is not None:
             door.counts["nacked untaken"] += 1
             self.transport.write(lines.nacked(number, retry_ms))
@@ -261,10 +261,13 @@
         clock: interfaces.IReactorTime,
         log,
         connections_bound: int,
+        retry_ms: float = 0.0,
     ) -> None:
-        """`refuse`: None to take a customer's trigger, else the retry time of the nack it gets at once."""
+        """`refuse`: None to take a customer's trigger, else the retry time of the nack it gets at once;
+        `retry_ms`: that of a client that reads no answers."""
         self.asks, self.take, self.refuse, self.serving = asks, take, refuse, serving
         self.clock, self.log, self.connections_bound = clock, log, connections_bound
+        self.retry_ms = retry_ms
         self.callers: dict[Caller, None] = {}
         self.calls: dict[bytes, tuple[Caller, int]] = {}  # ids of what is open
         self.counts: Counter[str] = Counter()
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -35,7 +35,7 @@
 PULSE_MS = 50.0  # the process's own lag is looked at this often
 LAG_GAIN = 0.3
 LAG_BOUND_MS, OPEN_BOUND, BUFFERED_BOUND = 300.0, 4000, 8 << 20  # pressure 1 for the shedder
-LEAVING_RETRY_MS = 200.0
+LEAVING_RETRY_MS = 200.0  # told to those turned away in leaving, or for not reading their answers
 
 
 def named(told: Told) -> tuple:
@@ -107,6 +107,7 @@
             self.reactor,
             self.log,
             clients,
+            min(LEAVING_RETRY_MS, terms.permits.longest_retry_ms),
         )
         self.follower = Follower(
             *told.bus, terms.halls, terms.machines, self.reactor, self.connect, chance, self.listed, self.log
--- a/petrelway/platform/told.py
+++ b/petrelway/platform/told.py
@@ -30,8 +30,8 @@
     """Raises PlatformFault that says where, what was found and what is allowed."""
     try:
         told = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise PlatformFault(f"not JSON: {error}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise PlatformFault(f"not JSON: {error}"[:200]) from error
     if type(told) is not dict:
         raise PlatformFault(f"found {type(told).__name__}; allowed: one object")
     address, port = _endpoint(told, "listen")
--- a/tests/test_node_door.py
+++ b/tests/test_node_door.py
@@ -20,7 +20,7 @@
         self.taken, self.gone, self.retry = [], [], None
         self.well = True
         self.door = Door(ASKS, self.take, lambda customer: self.retry, lambda: self.well, self.clock,
-                         self.log, bound)
+                         self.log, bound, 200.0)
 
     def take(self, passed, tariff, customer, remaining, work, memory, lanes, load):
         answer = defer.Deferred(lambda _: self.gone.append(passed.call))
@@ -208,7 +208,8 @@
     assert rig.gone == [bytes.fromhex(call(1))]
     # no further work is done for it meanwhile, and its answers do not pile up without end
     client.dataReceived(request(3, call=call(3)))
-    assert len(rig.taken) == 2 and said(pipe)[-1]["error"]["code"] == lines.NACKED
+    assert len(rig.taken) == 2
+    assert said(pipe)[-1]["error"] == {"code": lines.NACKED, "message": "nacked", "data": {"pushback": 200}}
     for number in range(doors.CLOGGED_LINES - 1):  # two came before
         assert not pipe.closed
         client.dataReceived(b'{"jsonrpc":"2.0","id":%d,"method":"check"}\n' % (number + 4))
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -130,7 +130,8 @@
 
 
 def test_a_bad_configuration_is_said_in_one_line(tmp_path):
-    for data, where in ((b"{", "not JSON"), (configuration(listen=4), "listen"), (None, "No such file")):
+    for data, where in ((b"{", "not JSON"), (b"[" * 100_000, "not JSON"), (configuration(listen=4), "listen"),
+                        (None, "No such file")):
         path = tmp_path / "config.json"
         path.unlink(missing_ok=True)
         if data is not None:
