--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -91,8 +91,8 @@
         return d
 
 
-class ByPayoff(FrontEnd):
-    """In a jam what is small for its payoff goes first: dear ones need more room under the limit."""
+class ByWorth(FrontEnd):
+    """In a jam what is small for its worth goes first: dear ones need more room under the limit."""
 
     def _place(self, t, now):
         dear = t.size > 1.5 * self.mean_size
@@ -196,7 +196,7 @@
     """And cuts deeper."""
 
 
-class AlwaysFactorPayoff(AlwaysFactor, ByPayoff):
+class AlwaysFactorWorth(AlwaysFactor, ByWorth):
     """And lets what is dear wait first."""
 
 
@@ -220,7 +220,7 @@
     "deep cut": DeepCut,
     "low floor": LowFloor,
     "spread retries": SpreadRetry,
-    "by payoff": ByPayoff,
+    "by worth": ByWorth,
     "told share": ToldShare,
     "slow is late": QuickToo,
     "no seconds": NoSecond,
@@ -229,7 +229,7 @@
     "always, factor": AlwaysFactor,
     "a, f, slow is late": AlwaysFactorQuick,
     "a, f, deep cut": AlwaysFactorDeep,
-    "a, f, by payoff": AlwaysFactorPayoff,
+    "a, f, by worth": AlwaysFactorWorth,
     "a, f, told share": AlwaysFactorTold,
     "slow growth": SlowGrowth,
     "slower growth": SlowerGrowth,
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -196,7 +196,7 @@
                 raise SystemExit(f"{names[died[0]]} ended by itself: see {folder}")
             if wish is None:
                 changes += 1
-                terms = {"tariffs": [{**tariff, "payoff": float(changes)}], "functions": [
+                terms = {"tariffs": [{**tariff, "worth": float(changes)}], "functions": [
                     {"name": "f-*", "memory_mb": 10, "lanes": 1}]}  # fmt: skip
                 own = own or _get(first + 104)["own document"]
                 wish = {"type": "Propose", "id": f"c{changes}", "base": base, "document": json.dumps(terms),
--- a/petrelway/front/terms.py
+++ b/petrelway/front/terms.py
@@ -35,7 +35,7 @@
     name tariffs and customers that may be dropped. Raises ValueError past PLACES_BOUND."""
     tariffs, places = list(before.tariffs) if before else [], _places(before and before.tariff_names)
     for t in found["tariffs"]:
-        tariff = Tariff(Effect(t.effect), Scope(t.scope), t.window_ms, t.quoted_ms, t.outer_ms, t.payoff,
+        tariff = Tariff(Effect(t.effect), Scope(t.scope), t.window_ms, t.quoted_ms, t.outer_ms, t.worth,
                         t.late_share)  # fmt: skip
         _put(tariffs, places, t.name, tariff)
     # what was dropped has no share any more
--- a/petrelway/interface.py
+++ b/petrelway/interface.py
@@ -97,7 +97,7 @@
     window_ms: float
     quoted_ms: float
     outer_ms: float
-    payoff: float
+    worth: float
     late_share: float
 
 
--- a/petrelway/rehearsal/benchday.py
+++ b/petrelway/rehearsal/benchday.py
@@ -124,7 +124,7 @@
                 "window_ms": c["window"].ms(),
                 "quoted_ms": c["aim"].ms(),
                 "outer_ms": c["deadline"].ms(),
-                "payoff": c.get("worth", 1.0),
+                "worth": c.get("worth", 1.0),
                 "late_share": c.get("late_worth", 0.0),
             }
         )
--- a/petrelway/rehearsal/report.py
+++ b/petrelway/rehearsal/report.py
@@ -59,7 +59,7 @@
     by_customer: dict[str, list[float]] = {}
     for mark, line in first.items():
         t = tariffs[line["f"]]
-        worth = t.payoff * line["w"]
+        worth = t.worth * line["w"]
         got = 0.0
         if mark in good:
             ms = good[mark] - line["at"]  # from when it was due: no coordinated omission
--- a/petrelway/settings/front.py
+++ b/petrelway/settings/front.py
@@ -51,7 +51,7 @@
     outer_ms: Some
     scope: Literal["all", "hall", "cell"] = "all"
     window_ms: Ms = 0.0
-    payoff: Annotated[float, Meta(ge=0)] = 1.0
+    worth: Annotated[float, Meta(ge=0)] = 1.0
     late_share: Share = 0.0
 
 
--- a/tests/test_policy_process.py
+++ b/tests/test_policy_process.py
@@ -110,11 +110,11 @@
             cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
         )  # fmt: skip
 
-    def apply(self, payoff, *words, by=4, base=None, silent="serve on", tariffs=None):
+    def apply(self, worth, *words, by=4, base=None, silent="serve on", tariffs=None):
         """Begins a change; `ended` waits for its end."""
         tree = {**self.terms, "adoption": {"silent": silent}, "tariffs": tariffs or [
-            {**t, "payoff": payoff} for t in self.terms["tariffs"]]}  # fmt: skip
-        file = self.folder / f"terms-{payoff}.json"
+            {**t, "worth": worth} for t in self.terms["tariffs"]]}  # fmt: skip
+        file = self.folder / f"terms-{worth}.json"
         file.write_text(json.dumps(tree))
         base = self.version() if base is None else base
         process = self.policy("apply", str(file), "--json", "--base", str(base), *words, by=by)
@@ -128,8 +128,8 @@
         assert (process.returncode == 0) == (found["state"] == "adopted"), err
         return found
 
-    def change(self, payoff, *words, **more):
-        return self.ended(self.apply(payoff, *words, **more))
+    def change(self, worth, *words, **more):
+        return self.ended(self.apply(worth, *words, **more))
 
     def promised(self, *numbers):
         """Until these have said yes to what is under way."""
