--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -290,3 +290,10 @@
     taken = next(iter(rig.node.host.taken.values()))
     left_ms = taken.outer_ms - rig.reactor.seconds() * 1e3
     assert 700.0 < left_ms < 800.0
+
+
+def test_few_descriptors_leave_clients_their_third_and_executors_the_rest():
+    for sockets in (64, 80, 92, 93, 128, 1024):
+        node = Rig(sockets=sockets).node
+        assert node.door.connections_bound >= sockets / 3 and node.room.bound >= 16, sockets
+        assert node.door.connections_bound + node.room.bound + 24 == sockets
