What waited alone for a cold executor does not stand in its own way

Seen on rereading may_go: with its own place taken out of an otherwise empty count, the gate drew a new chance phase, and mostly refused. Test: test_the_only_one_that_waited_for_a_cold_executor_goes fails with the text before (rules, AssertionError at may_go) and passes now. Change: its place is kept, and read as long ago.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -566,10 +566,12 @@
         sent, t.sent = t.out.pop(number), t.sent - 1
         spent = sent.executor.cold_sends
         if counted := sent.sent_ms in spent:
-            spent.remove(sent.sent_ms)
+            spent[spent.index(sent.sent_ms)] = -math.inf  # in its place, so that no phase is drawn anew
         may = self.gate.send(t, sent.executor, len(self.ready), now)
         t.out[number], t.sent = sent, t.sent + 1
-        spent.extend([now] * (counted and may))
+        if counted:
+            spent.remove(-math.inf)
+            spent.extend([now] * may)
         return may
 
     def time_passed(self, now: float) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,6 +322,25 @@
     assert 1 <= len(went) < len(sent) and len(span) <= 2 + sum(at > host.now - 1500.0 for at in decided)
 
 
+def test_the_only_one_that_waited_for_a_cold_executor_goes():
+    """Danger: asked for again it would stand in its own way, or draw a new chance phase: few would ever go."""
+    went = 0
+    for seed in range(40):
+        host = Host(1, rate=1.0, started={0: START - 1000.0}, seed=seed)
+        sent = []
+        while not sent and host.now < START + 9000.0:
+            host.take(remaining=9000.0)
+            sent = [d.trigger for d in host.pull(50.0) if d.verb is Verb.SEND]
+        if sent:
+            e = host.fe.executors[0]
+            while len(e.cold_sends) > 1:  # but for its own place
+                e.cold_sends.popleft()
+            assert host.fe.may_go(host.now + 100.0, sent[0], 0)
+            assert list(e.cold_sends) == [host.now + 100.0]
+            went += 1
+    assert went > 5
+
+
 def test_what_is_taken_back_earns_no_orders():
     """Danger: hundreds asked and taken back at once; the ration counts the requests that it knows of."""
     host = Host(3, misses=True, ration=(10_000.0, 4.0, 0.2))
