--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -323,7 +323,7 @@
 
 
 def test_the_only_one_that_waited_for_a_cold_executor_goes():
-    """Danger: asked for again it would stand in its own way, or draw a new chance phase: few would ever go."""
+    """Danger: asked for again it would stand in its own way, or draw a new chance phase; few would go."""
     went = 0
     for seed in range(40):
         host = Host(1, rate=1.0, started={0: START - 1000.0}, seed=seed)
