petrelway capacity: measured slopes and a size in, what each role costs out

Change: petrelway/capacity/ has the size file (msgspec shapes, one line a fault), the call rates' power law and what one front end sees of it, tables of entries by role, the model (amount, limit, evidence, the size that breaks) and the report; petrelway capacity SIZE prints it; the target and today's fleet are examples.

--- /dev/null
+++ b/petrelway/capacity/configuration.py
@@ -0,0 +1,170 @@
+"""What changes of configuration cost the leader, a voter and each member."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from .entries import (
+    CONTROL_BYTES,
+    CONTROL_CPU,
+    CONTROL_MACHINES,
+    IN_FORCE,
+    ONE_AT_A_TIME,
+    POLICY_MEMBERS,
+    Entry,
+    Role,
+    Situation,
+    arithmetic,
+    configuration_changes,
+    front_ends,
+    measured,
+)
+
+VISITS = "the leader visits each member, one change after the other"
+PROMISE = "each member's promise before the change"
+PATIENCE = "a silent member is waited for, then left out"
+REPLICATION = "replicated log of the voters"
+LEASES = "leases and heartbeats"
+
+LEADER_MESSAGES = "changes.leader_messages_by_members"
+LEADER_BYTES = "changes.leader_bytes_by_members"
+
+_leader_at_rest = partial(Entry, Role.LEADER, Situation.REST)
+_leader_on_a_day = partial(Entry, Role.LEADER, Situation.DAY)
+_voter_at_rest = partial(Entry, Role.VOTER, Situation.REST)
+_voter_on_a_day = partial(Entry, Role.VOTER, Situation.DAY)
+_member_at_rest = partial(Entry, Role.FRONT_END, Situation.REST)
+_member_on_a_day = partial(Entry, Role.FRONT_END, Situation.DAY)
+
+LEADER = (
+    _leader_at_rest(
+        "messages of configuration",
+        "messages/s",
+        None,
+        LEASES,
+        measured("changes.rest_leader_messages_by_members", front_ends),
+    ),
+    _leader_at_rest("members of one change", "members", POLICY_MEMBERS, VISITS, arithmetic(front_ends)),
+    _leader_on_a_day(
+        "messages of changes",
+        "messages/s",
+        None,
+        VISITS,
+        measured(LEADER_MESSAGES, front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "bytes of changes",
+        "B/s",
+        CONTROL_BYTES,
+        VISITS,
+        measured(LEADER_BYTES, front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "CPU of changes",
+        "us/s",
+        CONTROL_CPU,
+        VISITS,
+        measured("changes.leader_cpu_by_members", front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "time until a change is in force",
+        "s",
+        IN_FORCE,
+        VISITS,
+        measured("changes.in_force_s_by_members", front_ends),
+    ),
+    _leader_on_a_day(
+        "share of the day that changes take",
+        "share",
+        ONE_AT_A_TIME,
+        VISITS,
+        measured("changes.in_force_s_by_members", front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "time until a burst of changes is in force",
+        "s",
+        IN_FORCE,
+        VISITS,
+        measured("changes.burst_s_by_members", front_ends),
+    ),
+    _leader_on_a_day(
+        "bytes of a burst of changes",
+        "B",
+        None,
+        VISITS,
+        measured("changes.burst_leader_bytes_by_members", front_ends),
+    ),
+    Entry(
+        Role.LEADER,
+        Situation.RACK,
+        "time until a change is in force, one member silent",
+        "s",
+        IN_FORCE,
+        PATIENCE,
+        measured("changes.silent_s_by_members", front_ends),
+    ),
+    Entry(
+        Role.LEADER,
+        Situation.RACK,
+        "messages of one change, one member silent",
+        "messages",
+        None,
+        PATIENCE,
+        measured("changes.silent_leader_messages_by_members", front_ends),
+    ),
+    Entry(
+        Role.LEADER,
+        Situation.PARTED,
+        "time until a change is in force, a region silent",
+        "s",
+        IN_FORCE,
+        PATIENCE,
+        measured("changes.region_silent_s_by_members", front_ends),
+    ),
+)
+VOTER = (
+    _voter_at_rest(
+        "machines of the voters",
+        "machines",
+        CONTROL_MACHINES,
+        REPLICATION,
+        arithmetic(lambda w: w.policy_voters),
+    ),
+    _voter_on_a_day(
+        "changes written to disk", "changes/s", None, REPLICATION, arithmetic(configuration_changes)
+    ),
+    _voter_on_a_day(
+        "bytes of the log",
+        "B/s",
+        CONTROL_BYTES,
+        REPLICATION,
+        measured("changes.voter_bytes_by_members", front_ends, configuration_changes),
+    ),
+)
+MEMBER_REST = (
+    _member_at_rest(
+        "messages of configuration",
+        "messages/s",
+        None,
+        LEASES,
+        measured("changes.rest_member_messages_by_members", front_ends),
+    ),
+)
+MEMBER_DAY_BYTES = (
+    _member_on_a_day(
+        "bytes of configuration changes",
+        "B/s",
+        CONTROL_BYTES,
+        PROMISE,
+        measured("changes.member_bytes_by_members", front_ends, configuration_changes),
+    ),
+)
+MEMBER_DAY = (
+    _member_on_a_day(
+        "messages of configuration changes",
+        "messages/s",
+        None,
+        PROMISE,
+        measured("changes.member_messages_by_members", front_ends, configuration_changes),
+    ),
+)
--- /dev/null
+++ b/petrelway/capacity/report.py
@@ -0,0 +1,209 @@
+"""The model's rows and the figures behind them as tables of text, for the terminal and for the page."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from .amounts import amount_text, figures
+from .entries import LimitKind, Role
+from .model import LARGEST_SCALE, Basis, Ground, Row, breaks_first
+from .size import Size
+from .slopes import SlopeFile
+from .workload import READINGS, Reading, workload
+
+ROW_HEAD = (
+    "situation",
+    "quantity",
+    "instances are",
+    "amount",
+    "limit",
+    "carried by",
+    "evidence",
+    "breaks at",
+)
+READING_TEXT = {Reading.HOSTED: "hosted by executors", Reading.PROCESSES: "executor processes"}
+FIRST_TEXT = {LimitKind.BUDGET: "breaks first", LimitKind.BOUND: "first bound of the program"}
+NOTHING_BREAKS = f"nothing within {LARGEST_SCALE:g} times this size"
+
+
+class Table(NamedTuple):
+    """Cells of text under their heads."""
+
+    heads: tuple[str, ...]
+    lines: tuple[tuple[str, ...], ...]
+
+
+class FirstBreak(msgspec.Struct, frozen=True):
+    """The row that passes its limit at the smallest fleet, of one kind of limit and under one reading."""
+
+    kind: LimitKind
+    reading: Reading
+    row: Row | None
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What the command prints: all rows, and what breaks first."""
+
+    machine: str
+    rows: list[Row]
+    first: list[FirstBreak]
+
+
+def report(slopes: SlopeFile, found: list[Row]) -> Report:
+    """The rows with what breaks first, the operators' budgets before the program's own bounds."""
+    first = [
+        FirstBreak(kind, reading, breaks_first(found, kind, reading))
+        for kind in LimitKind
+        for reading in READINGS
+    ]
+    return Report(machine=slopes.machine, rows=found, first=first)
+
+
+def workload_table(size: Size) -> Table:
+    """What follows from the size alone, under both readings of it."""
+    both = [workload(size, reading) for reading in READINGS]
+    lines = (
+        ("executors listed", "", [w.executors for w in both]),
+        ("executors a machine", "", [w.executors_a_machine for w in both]),
+        ("changes of the list", "changes/s", [w.list_changes for w in both]),
+        ("calls at one front end", "calls/s", [w.calls_a_front_end for w in both]),
+        (
+            "functions called less than once a minute",
+            "share",
+            [w.functions_below_once_a_minute for w in both],
+        ),
+        ("functions known at one front end at a time", "", [w.functions_known for w in both]),
+        ("functions first seen at one front end", "functions/s", [w.new_functions for w in both]),
+        (
+            "calls whose function this front end itself saw served within the keep time",
+            "share",
+            [w.calls_repeated for w in both],
+        ),
+        ("calls that the shared rank carries alone", "share", [1.0 - w.calls_repeated for w in both]),
+        ("machines that fail, are restarted or replaced", "a day", [w.machines_changed for w in both]),
+        ("changes of configuration", "changes/s", [w.configuration_changes for w in both]),
+    )
+    heads = (
+        "what follows from the size",
+        *(f"instances are {READING_TEXT[reading]}" for reading in READINGS),
+    )
+    return Table(
+        heads, tuple((name, *(amount_text(v, unit) for v in values)) for name, unit, values in lines)
+    )
+
+
+def role_table(found: Sequence[Row], role: Role) -> Table:
+    """The rows of one role."""
+    return Table(ROW_HEAD, tuple(_cells(row) for row in found if row.role is role))
+
+
+def breaking_table(found: Sequence[Row]) -> Table:
+    """The rows that pass their limit somewhere, the smallest fleet first; sums left out."""
+    broken = [row for row in found if row.breaks_at is not None and not row.is_sum]
+    ordered = sorted(broken, key=lambda row: row.breaks_at)
+    heads = ("front ends", "role", "situation", "quantity", "instances are", "limit", "evidence")
+    return Table(heads, tuple(_breaking_cells(row) for row in ordered))
+
+
+def missing_table(found: Sequence[Row]) -> Table:
+    """The rows that nobody measured, and the slopes that lack."""
+    lacking = [row for row in found if row.ground.missing]
+    heads = ("role", "situation", "quantity", "slopes that lack")
+    return Table(heads, tuple(_missing_cells(row) for row in lacking))
+
+
+def evidence_text(ground: Ground) -> str:
+    """What an amount rests on, in words.
+
+    >>> evidence_text(Ground(Basis.MEASURED, 4.0, 25_000.0, "executors"))
+    'extrapolated 4 times, measured to 25,000 executors'
+    """
+    parts = [ground.basis.value]
+    if ground.seen_up_to is not None:
+        parts[0] += f" to {ground.seen_up_to:,.0f} {ground.dimension}"
+    if ground.factor > 1.0:
+        parts[0] = f"extrapolated {figures(ground.factor)} times, {parts[0]}"
+    if ground.knee is not None:
+        parts.append(f"off the line from {ground.knee:,.0f}")
+    if ground.missing and ground.basis is not Basis.NOT_MEASURED:
+        parts.append(f"without {len(ground.missing)} that nobody measured")
+    return "; ".join(parts)
+
+
+def first_lines(found: Report) -> list[str]:
+    """What breaks first, a line for each kind of limit and each reading."""
+    return [
+        f"{FIRST_TEXT[first.kind]}, instances {READING_TEXT[first.reading]}: {_first_text(first.row)}"
+        for first in found.first
+    ]
+
+
+def _first_text(row: Row | None) -> str:
+    if row is None:
+        return NOTHING_BREAKS
+    where = f"{row.role.value}, {row.situation.value}, {row.quantity}"
+    limit = f"{row.limit_name} of {amount_text(row.limit, row.unit)}"
+    return f"{where}: passes {limit} at {row.breaks_at:,} front ends ({evidence_text(row.ground)})"
+
+
+def _cells(row: Row) -> tuple[str, ...]:
+    amount = amount_text(row.amount, row.unit)
+    return (
+        row.situation.value,
+        row.quantity,
+        row.reading.value,
+        f"at least {amount}" if row.amount is not None and row.ground.missing else amount,
+        _limit_text(row),
+        _carried_text(row),
+        evidence_text(row.ground),
+        _breaks_text(row),
+    )
+
+
+def _limit_text(row: Row) -> str:
+    return "-" if row.limit is None else f"{amount_text(row.limit, row.unit)} ({row.limit_name})"
+
+
+def _carried_text(row: Row) -> str:
+    return f"missing (today: {row.today})" if row.mechanism is None else row.mechanism
+
+
+def _breaks_text(row: Row) -> str:
+    if row.breaks_at is not None:
+        return f"{row.breaks_at:,}"
+    return "-" if row.limit is None or row.amount is None else f"over {LARGEST_SCALE:g} times"
+
+
+def _breaking_cells(row: Row) -> tuple[str, ...]:
+    return (
+        f"{row.breaks_at:,}",
+        row.role.value,
+        row.situation.value,
+        row.quantity,
+        row.reading.value,
+        _limit_text(row),
+        evidence_text(row.ground),
+    )
+
+
+def _missing_cells(row: Row) -> tuple[str, ...]:
+    return (row.role.value, row.situation.value, row.quantity, ", ".join(row.ground.missing))
+
+
+def plain(table: Table) -> str:
+    """The table in columns, for a terminal."""
+    lines = (table.heads, *table.lines)
+    widths = [max(len(line[i]) for line in lines) for i in range(len(table.heads))]
+    return "\n".join("  ".join(cell.ljust(w) for cell, w in zip(line, widths)).rstrip() for line in lines)
+
+
+def text(size: Size, found: Report) -> str:
+    """The whole report, for a terminal."""
+    parts = [plain(workload_table(size))]
+    for role in Role:
+        parts.append(f"{role.value}\n{plain(role_table(found.rows, role))}")
+    parts.append("\n".join(first_lines(found)))
+    return "\n\n".join(parts)
--- a/petrelway/commands/__init__.py
+++ b/petrelway/commands/__init__.py
@@ -19,6 +19,7 @@
     "workers": ("worker", "store", "package"),
     "nodes": ("node",),
     "policies": ("policy",),
+    "capacities": ("capacity",),
 }
 
 
