The capacity page, written from the slopes and checked against them

Cause: what each role needs at the operators' size belongs on a page, and no figure on it may be typed.

--- a/petrelway/capacity/configuration.py
+++ b/petrelway/capacity/configuration.py
@@ -10,13 +10,16 @@
     CONTROL_MACHINES,
     IN_FORCE,
     ONE_AT_A_TIME,
+    ONE_CORE,
     POLICY_MEMBERS,
+    US_A_S,
     Entry,
     Role,
     Situation,
     arithmetic,
     configuration_changes,
     front_ends,
+    in_seconds,
     measured,
 )
 
@@ -27,6 +30,8 @@
 LEASES = "leases and heartbeats"
 
 LEADER_MESSAGES = "changes.leader_messages_by_members"
+LEADER_CPU = "changes.leader_cpu_by_members"
+IN_FORCE_TIME = "changes.in_force_s_by_members"
 LEADER_BYTES = "changes.leader_bytes_by_members"
 
 _leader_at_rest = partial(Entry, Role.LEADER, Situation.REST)
@@ -44,6 +49,13 @@
         LEASES,
         measured("changes.rest_leader_messages_by_members", front_ends),
     ),
+    _leader_at_rest(
+        "bytes of configuration",
+        "B/s",
+        CONTROL_BYTES,
+        LEASES,
+        measured("changes.rest_leader_bytes_by_members", front_ends),
+    ),
     _leader_at_rest("members of one change", "members", POLICY_MEMBERS, VISITS, arithmetic(front_ends)),
     _leader_on_a_day(
         "messages of changes",
@@ -57,31 +69,49 @@
         "B/s",
         CONTROL_BYTES,
         VISITS,
-        measured(LEADER_BYTES, front_ends, configuration_changes),
+        measured(LEADER_BYTES, front_ends, configuration_changes)
+        + measured("changes.leader_received_bytes_by_members", front_ends, configuration_changes),
     ),
     _leader_on_a_day(
         "CPU of changes",
         "us/s",
         CONTROL_CPU,
         VISITS,
-        measured("changes.leader_cpu_by_members", front_ends, configuration_changes),
+        measured(LEADER_CPU, front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "CPU of changes, on a machine of its own",
+        "us/s",
+        ONE_CORE,
+        VISITS,
+        measured(LEADER_CPU, front_ends, configuration_changes),
+    ),
+    _leader_on_a_day(
+        "time until a change is in force, CPU left out",
+        "s",
+        IN_FORCE,
+        VISITS,
+        measured(IN_FORCE_TIME, front_ends),
     ),
     _leader_on_a_day(
-        "time until a change is in force",
+        "time until a change is in force, the leader's CPU added",
         "s",
         IN_FORCE,
         VISITS,
-        measured("changes.in_force_s_by_members", front_ends),
+        measured(IN_FORCE_TIME, front_ends) + in_seconds(LEADER_CPU, front_ends),
+        is_sum=True,
     ),
     _leader_on_a_day(
-        "share of the day that changes take",
+        "share of the day that changes take, the leader's CPU added",
         "share",
         ONE_AT_A_TIME,
         VISITS,
-        measured("changes.in_force_s_by_members", front_ends, configuration_changes),
+        measured(IN_FORCE_TIME, front_ends, configuration_changes)
+        + measured(LEADER_CPU, front_ends, lambda w: w.configuration_changes / US_A_S),
+        is_sum=True,
     ),
     _leader_on_a_day(
-        "time until a burst of changes is in force",
+        "time until a burst of changes is in force, CPU left out",
         "s",
         IN_FORCE,
         VISITS,
@@ -97,7 +127,7 @@
     Entry(
         Role.LEADER,
         Situation.RACK,
-        "time until a change is in force, one member silent",
+        "time until a change ends, one member silent",
         "s",
         IN_FORCE,
         PATIENCE,
@@ -115,7 +145,7 @@
     Entry(
         Role.LEADER,
         Situation.PARTED,
-        "time until a change is in force, a region silent",
+        "time until a change ends, a region silent",
         "s",
         IN_FORCE,
         PATIENCE,
--- a/petrelway/capacity/entries.py
+++ b/petrelway/capacity/entries.py
@@ -116,6 +116,7 @@
 CONTROL_MACHINES = _budget("control machines", lambda s: float(s.budget.control_machines))
 COLD_START = _budget("cold start p99", lambda s: s.budget.cold_start_p99_s)
 IN_FORCE = _budget("configuration in force", lambda s: s.budget.configuration_in_force_s)
+ONE_CORE = _bound("one core of one process", round(US_A_S))
 ONE_AT_A_TIME = _budget("changes one after the other", lambda s: 1.0)
 EVENT_RECORDS = _bound("RECORDS_BOUND of one event", RECORDS_BOUND)
 POLICY_MEMBERS = _bound("MEMBERS_BOUND of a policy message", MEMBERS_BOUND)
--- a/petrelway/capacity/front_end.py
+++ b/petrelway/capacity/front_end.py
@@ -195,10 +195,10 @@
         arithmetic(lambda w: HEAD.size + RECORD.size * zone_list_changes(w)),
     ),
     _parted(
-        "turn that takes the whole list in, after a gap of the event bus",
+        "turn that takes the whole list in again, after a gap of the event bus",
         "s",
         COLD_START,
         WHOLE_LIST,
-        in_seconds(WHOLE_LIST_CPU, executors),
+        in_seconds("front_end.whole_list_again_cpu_by_executors", executors),
     ),
 )
--- a/petrelway/capacity/model.py
+++ b/petrelway/capacity/model.py
@@ -10,6 +10,7 @@
 
 from . import configuration, front_end, membership, surroundings
 from .entries import Entry, LimitKind, Role, Situation, Term, sum_of
+from .reach import Bend, bend, cost_at, factor, seen_up_to
 from .size import Size
 from .slopes import Evidence, Slope, SlopeFile
 from .workload import READINGS, Reading, Workload, workload
@@ -64,8 +65,9 @@
 class Ground(msgspec.Struct, frozen=True):
     """What an amount rests on, and how far beyond the largest size on the line it lies.
 
-    `factor` is 1 where the size was seen; `seen_up_to` is the largest size on the line of the slope that is
-    stretched most, counted in `dimension`; `knee` the first size off that line, if any was seen.
+    `factor` is 1 where the size was seen; `seen_up_to` is the largest size seen of the slope that is
+    stretched most, counted in `dimension`; `knee` the first size off its line, if any was seen, and `bend`
+    which way it leaves it.
     `missing` names the slopes that nobody measured.
     """
 
@@ -74,6 +76,7 @@
     seen_up_to: float | None = None
     dimension: str = ""
     knee: float | None = None
+    bend: Bend = Bend.NONE
     missing: tuple[str, ...] = ()
 
 
@@ -83,6 +86,7 @@
     `amount` None: not measured. With `ground.missing` it is a lower bound. `mechanism` None: missing, since
     what carries it today does not keep the limit. `breaks_at` is the number of front ends, with all else in
     proportion, at which the limit is passed first; None: not within LARGEST_SCALE times the size.
+    `breaks_ground` is what the amount rests on there.
     """
 
     role: Role
@@ -98,10 +102,12 @@
     mechanism: str | None
     ground: Ground
     breaks_at: int | None
+    breaks_ground: Ground | None
     is_sum: bool
 
     @property
     def breaks(self) -> bool:
+        """Whether the limit is passed at the size given."""
         return self.amount is not None and self.limit is not None and self.amount > self.limit
 
 
@@ -120,11 +126,15 @@
 
 
 def breaks_first(found: Sequence[Row], kind: LimitKind, reading: Reading) -> Row | None:
-    """The row whose limit of this kind is passed at the smallest fleet; sums don't count, their parts do."""
+    """The row whose limit of this kind growth breaks first; sums don't count, their parts do.
+
+    What passes its limit in a fleet of one front end is not broken by growth: see `over_at_any_size`.
+    """
     broken = [
         row
         for row in found
         if row.breaks_at is not None
+        and row.breaks_at > 1
         and not row.is_sum
         and row.limit_kind is kind
         and row.reading in (reading, Reading.BOTH)
@@ -132,10 +142,17 @@
     return min(broken, key=lambda row: row.breaks_at, default=None)
 
 
+def over_at_any_size(found: Sequence[Row]) -> list[Row]:
+    """The rows that pass their limit however small the fleet is."""
+    return [row for row in found if row.breaks_at == 1]
+
+
 def _row(entry: Entry, slopes: dict[str, Slope], size: Size, reading: Reading) -> Row:
     at = workload(size, reading)
     amount = _amount(entry, slopes, at)
     limit = entry.limit.amount(size) if entry.limit else None
+    limited = amount is not None and limit is not None
+    breaks_at = _breaks_at(entry, slopes, size, reading) if limited else None
     over = amount is not None and limit is not None and amount > limit
     return Row(
         role=entry.role,
@@ -150,9 +167,8 @@
         today=entry.carried_by,
         mechanism=None if over else entry.carried_by,
         ground=_ground(entry, slopes, at),
-        breaks_at=_breaks_at(entry, slopes, size, reading)
-        if amount is not None and limit is not None
-        else None,
+        breaks_at=breaks_at,
+        breaks_ground=_ground_at(entry, slopes, size, reading, breaks_at),
         is_sum=entry.is_sum,
     )
 
@@ -174,28 +190,38 @@
     if term.slope is None:
         return term.times(at) * term.at(at)
     slope = slopes.get(term.slope)
-    return None if slope is None else term.times(at) * max(0.0, slope.cost(term.at(at)))
+    return None if slope is None else term.times(at) * cost_at(slope, term.at(at))
 
 
 def _ground(entry: Entry, slopes: dict[str, Slope], at: Workload) -> Ground:
-    """What the entry's amount rests on; of several slopes the one that is stretched most is told."""
+    """What the entry's amount rests on; of several slopes one that bends, or is stretched most, is told."""
     missing = tuple(term.slope for term in entry.terms if term.slope and term.slope not in slopes)
     used = [(slopes[term.slope], term.at(at)) for term in entry.terms if term.slope in slopes]
     if not used:
         from_size = any(term.slope is None for term in entry.terms)
         return Ground(Basis.ARITHMETIC if from_size else Basis.NOT_MEASURED, missing=missing)
-    slope, dimension_size = max(used, key=lambda pair: pair[0].factor(pair[1]))
+    slope, dimension_size = max(used, key=lambda pair: (bend(pair[0]) is not Bend.NONE, factor(*pair)))
     emulated = any(each.evidence is Evidence.EMULATED for each, _ in used)
     return Ground(
         basis=Basis.EMULATED if emulated else Basis.MEASURED,
-        factor=slope.factor(dimension_size),
-        seen_up_to=slope.line_up_to,
+        factor=factor(slope, dimension_size),
+        seen_up_to=seen_up_to(slope),
         dimension=slope.dimension,
         knee=slope.knee,
+        bend=bend(slope),
         missing=missing,
     )
 
 
+def _ground_at(
+    entry: Entry, slopes: dict[str, Slope], size: Size, reading: Reading, count: int | None
+) -> Ground | None:
+    """What the entry's amount rests on in a fleet of so many front ends, all else in proportion."""
+    if count is None:
+        return None
+    return _ground(entry, slopes, workload(size, reading, count / size.fleet.front_ends))
+
+
 def _breaks_at(entry: Entry, slopes: dict[str, Slope], size: Size, reading: Reading) -> int | None:
     """The number of front ends at which the entry passes its limit, with all else in proportion."""
     limit = entry.limit.amount(size)
--- a/petrelway/capacity/page.py
+++ b/petrelway/capacity/page.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from pathlib import Path
+from typing import NamedTuple
 
 from .entries import Role
 from .model import rows
@@ -24,10 +25,13 @@
     Report,
     Table,
     breaking_table,
+    call_rates_table,
     first_lines,
     missing_table,
     report,
     role_table,
+    size_table,
+    slopes_table,
     workload_table,
 )
 from .size import Size, read_size
@@ -55,16 +59,27 @@
     return "\n".join("| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |" for line in lines)
 
 
-def _role(role: Role) -> Callable[[Size, Report], str]:
-    return lambda size, found: markdown(role_table(found.rows, role))
+class Worked(NamedTuple):
+    """What a table is written from."""
 
+    slopes: SlopeFile
+    size: Size
+    report: Report
 
-TABLES: dict[str, Callable[[Size, Report], str]] = {
-    "workload": lambda size, found: markdown(workload_table(size)),
-    "breaking": lambda size, found: markdown(breaking_table(found.rows)),
-    "not-measured": lambda size, found: markdown(missing_table(found.rows)),
-    "first": lambda size, found: "\n".join(f"- {line}" for line in first_lines(found)),
-    "machine": lambda size, found: f"Measured on: {found.machine}.",
+
+def _role(role: Role) -> Callable[[Worked], str]:
+    return lambda w: markdown(role_table(w.report.rows, role))
+
+
+TABLES: dict[str, Callable[[Worked], str]] = {
+    "size": lambda w: markdown(size_table(w.size)),
+    "workload": lambda w: markdown(workload_table(w.size)),
+    "call-rates": lambda w: markdown(call_rates_table(w.size)),
+    "breaking": lambda w: markdown(breaking_table(w.report.rows)),
+    "not-measured": lambda w: markdown(missing_table(w.report.rows)),
+    "first": lambda w: "\n".join(f"- {line}" for line in first_lines(w.report)),
+    "machine": lambda w: f"Measured on: {w.report.machine}.",
+    "slopes": lambda w: markdown(slopes_table(w.slopes)),
     **{role.value.replace(" ", "-"): _role(role) for role in Role},
 }
 
@@ -78,14 +93,14 @@
         raise PageFault("no table: one begins with <!-- table: SIZE NAME --> and ends with <!-- end -->")
 
     @lru_cache(maxsize=SIZES_KEPT)
-    def worked_out(file: str) -> tuple[Size, Report]:
+    def worked_out(file: str) -> Worked:
         size = read_size(str(folder / file))
-        return size, report(slopes, rows(slopes, size))
+        return Worked(slopes, size, report(slopes, rows(slopes, size)))
 
     def block(match: re.Match[str]) -> str:
         file, name = match[1], match[2]
         if name not in TABLES:
             raise PageFault(f"no table is called {name!r}; allowed: {', '.join(TABLES)}")
-        return f"<!-- table: {file} {name} -->\n{TABLES[name](*worked_out(file))}\n<!-- end -->"
+        return f"<!-- table: {file} {name} -->\n{TABLES[name](worked_out(file))}\n<!-- end -->"
 
     return BLOCK.sub(block, text)
--- a/petrelway/capacity/report.py
+++ b/petrelway/capacity/report.py
@@ -9,10 +9,11 @@
 
 from .amounts import amount_text, figures
 from .entries import LimitKind, Role
-from .model import LARGEST_SCALE, Basis, Ground, Row, breaks_first
-from .size import Size
-from .slopes import SlopeFile
-from .workload import READINGS, Reading, workload
+from .model import LARGEST_SCALE, Basis, Ground, Row, breaks_first, over_at_any_size
+from .reach import Bend
+from .size import FunctionSize, Size
+from .slopes import Slope, SlopeFile
+from .workload import READINGS, Reading, Workload, workload
 
 ROW_HEAD = (
     "situation",
@@ -26,6 +27,9 @@
 )
 READING_TEXT = {Reading.HOSTED: "hosted by executors", Reading.PROCESSES: "executor processes"}
 FIRST_TEXT = {LimitKind.BUDGET: "breaks first", LimitKind.BOUND: "first bound of the program"}
+MOST = 0.5  # more than this share
+OTHER_EXPONENTS = (1.5, 1.8, 2.4, 3.0)  # of the power law, to show what rests on the size's own
+OTHER_CUTS = (0.1, 1.0, 10.0)  # times the size's own
 NOTHING_BREAKS = f"nothing within {LARGEST_SCALE:g} times this size"
 
 
@@ -49,6 +53,7 @@
 
     machine: str
     rows: list[Row]
+    over_at_any_size: list[Row]
     first: list[FirstBreak]
 
 
@@ -59,7 +64,24 @@
         for kind in LimitKind
         for reading in READINGS
     ]
-    return Report(machine=slopes.machine, rows=found, first=first)
+    return Report(slopes.machine, found, over_at_any_size(found), first)
+
+
+def size_table(size: Size) -> Table:
+    """The size as its file gives it."""
+    sections = msgspec.to_builtins(size)
+    return Table(
+        ("the size", "value"),
+        tuple(
+            (f"{section}.{key}", _number(value))
+            for section, values in sections.items()
+            for key, value in values.items()
+        ),
+    )
+
+
+def _number(value: float) -> str:
+    return f"{value:,.0f}" if float(value).is_integer() else figures(value)
 
 
 def workload_table(size: Size) -> Table:
@@ -95,6 +117,49 @@
     )
 
 
+def call_rates_table(size: Size) -> Table:
+    """What one front end sees under other power laws by which most functions are called less than once a
+    minute; the size's own stands first.
+    """
+    own = size.functions
+    others = [
+        msgspec.structs.replace(own, exponent=exponent, cut=own.cut * times)
+        for exponent in OTHER_EXPONENTS
+        for times in OTHER_CUTS
+        if (exponent, times) != (own.exponent, 1.0)
+    ]
+    fitting = [
+        functions
+        for functions in others
+        if _with_functions(size, functions).functions_below_once_a_minute > MOST
+    ]
+    heads = (
+        "exponent",
+        "cut",
+        "called less than once a minute",
+        "known at one front end",
+        "first seen there",
+        "calls that its own resume can serve",
+    )
+    return Table(heads, tuple(_call_rates_cells(size, functions) for functions in (own, *fitting)))
+
+
+def _call_rates_cells(size: Size, functions: FunctionSize) -> tuple[str, ...]:
+    w = _with_functions(size, functions)
+    return (
+        figures(functions.exponent),
+        figures(functions.cut),
+        amount_text(w.functions_below_once_a_minute, "share"),
+        amount_text(w.functions_known, "functions"),
+        amount_text(w.new_functions, "functions/s"),
+        amount_text(w.calls_repeated, "share"),
+    )
+
+
+def _with_functions(size: Size, functions: FunctionSize) -> Workload:
+    return workload(msgspec.structs.replace(size, functions=functions), Reading.HOSTED)
+
+
 def role_table(found: Sequence[Row], role: Role) -> Table:
     """The rows of one role."""
     return Table(ROW_HEAD, tuple(_cells(row) for row in found if row.role is role))
@@ -104,7 +169,7 @@
     """The rows that pass their limit somewhere, the smallest fleet first; sums left out."""
     broken = [row for row in found if row.breaks_at is not None and not row.is_sum]
     ordered = sorted(broken, key=lambda row: row.breaks_at)
-    heads = ("front ends", "role", "situation", "quantity", "instances are", "limit", "evidence")
+    heads = ("front ends", "role", "situation", "quantity", "instances are", "limit", "evidence there")
     return Table(heads, tuple(_breaking_cells(row) for row in ordered))
 
 
@@ -115,27 +180,48 @@
     return Table(heads, tuple(_missing_cells(row) for row in lacking))
 
 
+def slopes_table(slopes: SlopeFile) -> Table:
+    """All slopes that were measured, also those that no row uses."""
+    heads = ("slope", "unit", "base", "for each", "slope and its error", "line up to", "leaves it at", "how")
+    return Table(heads, tuple(_slope_cells(slope) for slope in slopes.slopes.values()))
+
+
+def _slope_cells(slope: Slope) -> tuple[str, ...]:
+    conditions = [f"{name} {value:g}" for name, value in slope.conditions.items()]
+    return (
+        slope.name,
+        slope.unit,
+        f"{slope.base:.4g}",
+        slope.dimension,
+        f"{slope.slope:.4g} ± {slope.slope_error:.2g}",
+        f"{slope.line_up_to:,.0f}",
+        "-" if slope.knee is None else f"{slope.knee:,.0f}",
+        "; ".join(part for part in (slope.evidence.value, ", ".join(conditions), slope.note) if part),
+    )
+
+
 def evidence_text(ground: Ground) -> str:
     """What an amount rests on, in words.
 
-    >>> evidence_text(Ground(Basis.MEASURED, 4.0, 25_000.0, "executors"))
-    'extrapolated 4 times, measured to 25,000 executors'
+    >>> evidence_text(Ground(Basis.MEASURED, 4.0, 25_000.0, "executor"))
+    'extrapolated 4 times, measured to 25,000 (by executor)'
     """
     parts = [ground.basis.value]
     if ground.seen_up_to is not None:
-        parts[0] += f" to {ground.seen_up_to:,.0f} {ground.dimension}"
+        parts[0] += f" to {ground.seen_up_to:,.0f} (by {ground.dimension})"
     if ground.factor > 1.0:
         parts[0] = f"extrapolated {figures(ground.factor)} times, {parts[0]}"
-    if ground.knee is not None:
-        parts.append(f"off the line from {ground.knee:,.0f}")
+    if ground.bend is not Bend.NONE:
+        parts.append(f"bends {ground.bend.value} at {ground.knee:,.0f}")
     if ground.missing and ground.basis is not Basis.NOT_MEASURED:
         parts.append(f"without {len(ground.missing)} that nobody measured")
     return "; ".join(parts)
 
 
 def first_lines(found: Report) -> list[str]:
-    """What breaks first, a line for each kind of limit and each reading."""
-    return [
+    """What is over its limit at any size, then what breaks first, by kind of limit and by reading."""
+    lines = [f"over its limit at any size: {_over_text(row)}" for row in found.over_at_any_size]
+    return lines + [
         f"{FIRST_TEXT[first.kind]}, instances {READING_TEXT[first.reading]}: {_first_text(first.row)}"
         for first in found.first
     ]
@@ -144,18 +230,38 @@
 def _first_text(row: Row | None) -> str:
     if row is None:
         return NOTHING_BREAKS
-    where = f"{row.role.value}, {row.situation.value}, {row.quantity}"
     limit = f"{row.limit_name} of {amount_text(row.limit, row.unit)}"
-    return f"{where}: passes {limit} at {row.breaks_at:,} front ends ({evidence_text(row.ground)})"
+    return (
+        f"{_place(row)}: passes {limit} at {row.breaks_at:,} front ends ({evidence_text(row.breaks_ground)})"
+    )
 
 
-def _cells(row: Row) -> tuple[str, ...]:
+def _over_text(row: Row) -> str:
+    return f"{_place(row)}: {_amount_text(row)}, limit {_limit_text(row)} ({evidence_text(row.ground)})"
+
+
+def _place(row: Row) -> str:
+    return f"{row.role.value}, {row.situation.value}, {row.quantity}"
+
+
+def _amount_text(row: Row) -> str:
+    """The amount, and which side of it the true one lies on where that is known."""
     amount = amount_text(row.amount, row.unit)
+    if row.amount is None:
+        return amount
+    bends_up = row.ground.bend is Bend.UP and row.ground.factor > 1.0
+    bends_down = row.ground.bend is Bend.DOWN and row.ground.factor > 1.0
+    if bends_down and not row.ground.missing:
+        return f"at most {amount}"
+    return f"at least {amount}" if bends_up or row.ground.missing else amount
+
+
+def _cells(row: Row) -> tuple[str, ...]:
     return (
         row.situation.value,
         row.quantity,
         row.reading.value,
-        f"at least {amount}" if row.amount is not None and row.ground.missing else amount,
+        _amount_text(row),
         _limit_text(row),
         _carried_text(row),
         evidence_text(row.ground),
@@ -172,6 +278,8 @@
 
 
 def _breaks_text(row: Row) -> str:
+    if row.breaks_at == 1:
+        return "at any size"
     if row.breaks_at is not None:
         return f"{row.breaks_at:,}"
     return "-" if row.limit is None or row.amount is None else f"over {LARGEST_SCALE:g} times"
@@ -179,13 +287,13 @@
 
 def _breaking_cells(row: Row) -> tuple[str, ...]:
     return (
-        f"{row.breaks_at:,}",
+        _breaks_text(row),
         row.role.value,
         row.situation.value,
         row.quantity,
         row.reading.value,
         _limit_text(row),
-        evidence_text(row.ground),
+        evidence_text(row.breaks_ground),
     )
 
 
