Capacity: limits met exactly, sizes below the smallest seen, tables in files of their own

Change: tests for both mutants; such a line goes through 0 there and the row says that the size is below what was seen; tables.py and size_tables.py taken out of report.py.

--- a/petrelway/capacity/model.py
+++ b/petrelway/capacity/model.py
@@ -10,7 +10,7 @@
 
 from . import configuration, front_end, membership, surroundings
 from .entries import Entry, LimitKind, Role, Situation, Term, sum_of
-from .reach import Bend, bend, cost_at, factor, seen_up_to
+from .reach import Bend, bend, cost_at, factor, seen_up_to, smallest_seen
 from .size import Size
 from .slopes import Evidence, Slope, SlopeFile
 from .workload import READINGS, Reading, Workload, workload
@@ -67,7 +67,7 @@
 
     `factor` is 1 where the size was seen; `seen_up_to` is the largest size seen of the slope that is
     stretched most, counted in `dimension`; `knee` the first size off its line, if any was seen, and `bend`
-    which way it leaves it.
+    which way it leaves it; `seen_from` the smallest size seen, where this one is below it.
     `missing` names the slopes that nobody measured.
     """
 
@@ -77,6 +77,7 @@
     dimension: str = ""
     knee: float | None = None
     bend: Bend = Bend.NONE
+    seen_from: float | None = None
     missing: tuple[str, ...] = ()
 
 
@@ -209,6 +210,7 @@
         dimension=slope.dimension,
         knee=slope.knee,
         bend=bend(slope),
+        seen_from=smallest_seen(slope) if dimension_size < smallest_seen(slope) else None,
         missing=missing,
     )
 
--- a/petrelway/capacity/page.py
+++ b/petrelway/capacity/page.py
@@ -21,21 +21,11 @@
 
 from .entries import Role
 from .model import rows
-from .report import (
-    Report,
-    Table,
-    breaking_table,
-    call_rates_table,
-    first_lines,
-    missing_table,
-    report,
-    role_table,
-    size_table,
-    slopes_table,
-    workload_table,
-)
+from .report import Report, breaking_table, first_lines, missing_table, report, role_table, slopes_table
 from .size import Size, read_size
+from .size_tables import call_rates_table, size_table, workload_table
 from .slopes import SlopeFile
+from .tables import markdown
 
 BLOCK = re.compile(r"<!-- table: (\S+) (\S+) -->\n(.*?)<!-- end -->", re.DOTALL)
 SIZES_KEPT = 16  # of one page
@@ -45,20 +35,6 @@
     """The page can't be written; the text says why in one line."""
 
 
-def markdown(table: Table) -> str:
-    """A table in Markdown; no row is a line that says so.
-
-    >>> print(markdown(Table(("a", "b"), (("1", "2 | 3"),))))
-    | a | b |
-    | --- | --- |
-    | 1 | 2 \\| 3 |
-    """
-    if not table.lines:
-        return "none"
-    lines = (table.heads, tuple("---" for _ in table.heads), *table.lines)
-    return "\n".join("| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |" for line in lines)
-
-
 class Worked(NamedTuple):
     """What a table is written from."""
 
--- a/petrelway/capacity/reach.py
+++ b/petrelway/capacity/reach.py
@@ -21,8 +21,12 @@
 
     On the line up to where that holds, and past it for a slope without a knee. With a knee: between the two
     measured points round the size, and past the last point on along the last two. Danger: on along a line
-    that was seen to end, a cost that grows with the square of the size would look cheap.
+    that was seen to end, a cost that grows with the square of the size would look cheap. Below the smallest
+    point a line that would come to nothing, or less, before size 0 does is replaced by one through 0.
     """
+    smallest = smallest_seen(slope)
+    if size < smallest and slope.base < 0.0:
+        return max(0.0, slope.cost(smallest)) * size / smallest
     if slope.knee is None or size <= slope.line_up_to:
         return max(0.0, slope.cost(size))
     beyond = [Point(slope.line_up_to, slope.cost(slope.line_up_to))]
@@ -34,6 +38,11 @@
     return max(0.0, low.cost + steepness * (size - low.size))
 
 
+def smallest_seen(slope: Slope) -> float:
+    """The smallest size that was measured."""
+    return min(point.size for point in slope.points)
+
+
 def seen_up_to(slope: Slope) -> float:
     """The largest size that a cost rests on: the end of the line, or the last point past a knee."""
     return slope.line_up_to if slope.knee is None else max(point.size for point in slope.points)
--- a/petrelway/capacity/report.py
+++ b/petrelway/capacity/report.py
@@ -1,9 +1,8 @@
-"""The model's rows and the figures behind them as tables of text, for the terminal and for the page."""
+"""The model's rows and slopes as tables of text, for the terminal and for the page."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import NamedTuple
 
 import msgspec
 
@@ -11,9 +10,11 @@
 from .entries import LimitKind, Role
 from .model import LARGEST_SCALE, Basis, Ground, Row, breaks_first, over_at_any_size
 from .reach import Bend
-from .size import FunctionSize, Size
+from .size import Size
+from .size_tables import READING_TEXT, workload_table
 from .slopes import Slope, SlopeFile
-from .workload import READINGS, Reading, Workload, workload
+from .tables import Table, plain
+from .workload import READINGS, Reading
 
 ROW_HEAD = (
     "situation",
@@ -25,21 +26,10 @@
     "evidence",
     "breaks at",
 )
-READING_TEXT = {Reading.HOSTED: "hosted by executors", Reading.PROCESSES: "executor processes"}
 FIRST_TEXT = {LimitKind.BUDGET: "breaks first", LimitKind.BOUND: "first bound of the program"}
-MOST = 0.5  # more than this share
-OTHER_EXPONENTS = (1.5, 1.8, 2.4, 3.0)  # of the power law, to show what rests on the size's own
-OTHER_CUTS = (0.1, 1.0, 10.0)  # times the size's own
 NOTHING_BREAKS = f"nothing within {LARGEST_SCALE:g} times this size"
 
 
-class Table(NamedTuple):
-    """Cells of text under their heads."""
-
-    heads: tuple[str, ...]
-    lines: tuple[tuple[str, ...], ...]
-
-
 class FirstBreak(msgspec.Struct, frozen=True):
     """The row that passes its limit at the smallest fleet, of one kind of limit and under one reading."""
 
@@ -67,99 +57,6 @@
     return Report(slopes.machine, found, over_at_any_size(found), first)
 
 
-def size_table(size: Size) -> Table:
-    """The size as its file gives it."""
-    sections = msgspec.to_builtins(size)
-    return Table(
-        ("the size", "value"),
-        tuple(
-            (f"{section}.{key}", _number(value))
-            for section, values in sections.items()
-            for key, value in values.items()
-        ),
-    )
-
-
-def _number(value: float) -> str:
-    return f"{value:,.0f}" if float(value).is_integer() else figures(value)
-
-
-def workload_table(size: Size) -> Table:
-    """What follows from the size alone, under both readings of it."""
-    both = [workload(size, reading) for reading in READINGS]
-    lines = (
-        ("executors listed", "", [w.executors for w in both]),
-        ("executors a machine", "", [w.executors_a_machine for w in both]),
-        ("changes of the list", "changes/s", [w.list_changes for w in both]),
-        ("calls at one front end", "calls/s", [w.calls_a_front_end for w in both]),
-        (
-            "functions called less than once a minute",
-            "share",
-            [w.functions_below_once_a_minute for w in both],
-        ),
-        ("functions known at one front end at a time", "", [w.functions_known for w in both]),
-        ("functions first seen at one front end", "functions/s", [w.new_functions for w in both]),
-        (
-            "calls whose function this front end itself saw served within the keep time",
-            "share",
-            [w.calls_repeated for w in both],
-        ),
-        ("calls that the shared rank carries alone", "share", [1.0 - w.calls_repeated for w in both]),
-        ("machines that fail, are restarted or replaced", "a day", [w.machines_changed for w in both]),
-        ("changes of configuration", "changes/s", [w.configuration_changes for w in both]),
-    )
-    heads = (
-        "what follows from the size",
-        *(f"instances are {READING_TEXT[reading]}" for reading in READINGS),
-    )
-    return Table(
-        heads, tuple((name, *(amount_text(v, unit) for v in values)) for name, unit, values in lines)
-    )
-
-
-def call_rates_table(size: Size) -> Table:
-    """What one front end sees under other power laws by which most functions are called less than once a
-    minute; the size's own stands first.
-    """
-    own = size.functions
-    others = [
-        msgspec.structs.replace(own, exponent=exponent, cut=own.cut * times)
-        for exponent in OTHER_EXPONENTS
-        for times in OTHER_CUTS
-        if (exponent, times) != (own.exponent, 1.0)
-    ]
-    fitting = [
-        functions
-        for functions in others
-        if _with_functions(size, functions).functions_below_once_a_minute > MOST
-    ]
-    heads = (
-        "exponent",
-        "cut",
-        "called less than once a minute",
-        "known at one front end",
-        "first seen there",
-        "calls that its own resume can serve",
-    )
-    return Table(heads, tuple(_call_rates_cells(size, functions) for functions in (own, *fitting)))
-
-
-def _call_rates_cells(size: Size, functions: FunctionSize) -> tuple[str, ...]:
-    w = _with_functions(size, functions)
-    return (
-        figures(functions.exponent),
-        figures(functions.cut),
-        amount_text(w.functions_below_once_a_minute, "share"),
-        amount_text(w.functions_known, "functions"),
-        amount_text(w.new_functions, "functions/s"),
-        amount_text(w.calls_repeated, "share"),
-    )
-
-
-def _with_functions(size: Size, functions: FunctionSize) -> Workload:
-    return workload(msgspec.structs.replace(size, functions=functions), Reading.HOSTED)
-
-
 def role_table(found: Sequence[Row], role: Role) -> Table:
     """The rows of one role."""
     return Table(ROW_HEAD, tuple(_cells(row) for row in found if row.role is role))
@@ -177,7 +74,8 @@
     """The rows that nobody measured, and the slopes that lack."""
     lacking = [row for row in found if row.ground.missing]
     heads = ("role", "situation", "quantity", "slopes that lack")
-    return Table(heads, tuple(_missing_cells(row) for row in lacking))
+    lines = dict.fromkeys(_missing_cells(row) for row in lacking)  # both readings lack the same
+    return Table(heads, tuple(lines))
 
 
 def slopes_table(slopes: SlopeFile) -> Table:
@@ -211,6 +109,8 @@
         parts[0] += f" to {ground.seen_up_to:,.0f} (by {ground.dimension})"
     if ground.factor > 1.0:
         parts[0] = f"extrapolated {figures(ground.factor)} times, {parts[0]}"
+    if ground.seen_from is not None:
+        parts.append(f"below {ground.seen_from:,.0f}, the smallest seen")
     if ground.bend is not Bend.NONE:
         parts.append(f"bends {ground.bend.value} at {ground.knee:,.0f}")
     if ground.missing and ground.basis is not Basis.NOT_MEASURED:
@@ -301,13 +201,6 @@
     return (row.role.value, row.situation.value, row.quantity, ", ".join(row.ground.missing))
 
 
-def plain(table: Table) -> str:
-    """The table in columns, for a terminal."""
-    lines = (table.heads, *table.lines)
-    widths = [max(len(line[i]) for line in lines) for i in range(len(table.heads))]
-    return "\n".join("  ".join(cell.ljust(w) for cell, w in zip(line, widths)).rstrip() for line in lines)
-
-
 def text(size: Size, found: Report) -> str:
     """The whole report, for a terminal."""
     parts = [plain(workload_table(size))]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -152,7 +152,12 @@
     assert eight.calls_a_front_end == one.calls_a_front_end
     assert eight.list_changes == pytest.approx(8 * one.list_changes)
     assert (eight.zones, eight.rack_machines) == (one.zones, one.rack_machines)
-    assert eight.functions_below_once_a_minute == pytest.approx(one.functions_below_once_a_minute, abs=0.05)
+
+
+def test_a_scale_leaves_the_mix_of_functions():
+    target = read_size(str(TARGET))
+    one, eighth = (workload(target, Reading.HOSTED, scale) for scale in (1.0, 0.125))
+    assert eighth.functions_below_once_a_minute == pytest.approx(one.functions_below_once_a_minute, abs=0.01)
 
 
 # -- rows
@@ -183,6 +188,14 @@
     assert processes.breaks_at == 67  # 5 executors of 3,000 B for each front end: 66.7 of them
 
 
+def test_an_amount_at_its_limit_keeps_it():
+    row = row_of(rows(slope_file(), small(budget__control_machines=3)), "machines of the voters")
+    assert (row.amount, row.limit, row.breaks, row.breaks_at) == (3, 3, False, None)
+    assert row.mechanism
+    over = row_of(rows(slope_file(), small(budget__control_machines=2)), "machines of the voters")
+    assert (over.breaks, over.breaks_at, over.mechanism) == (True, 1, None)
+
+
 def test_rates_and_products_by_hand():
     size = small()
     w = workload(size, Reading.HOSTED)
@@ -301,7 +314,19 @@
 
 def test_a_cost_is_never_negative():
     slope = line("a.b_by_c", "us", -10, 1, sizes=[20, 40, 80, 160])
-    assert cost_at(slope, 5) == 0.0
+    assert cost_at(slope, 20) == pytest.approx(10)
+    assert cost_at(slope, 5) == pytest.approx(2.5)  # and not -5: through 0 below the smallest size seen
+    falling = line("a.b_by_c", "us", 100, -1, sizes=[10, 20, 40, 80])
+    assert cost_at(falling, 200) == 0.0
+
+
+def test_a_size_below_the_smallest_seen_is_said_to_be_so():
+    def told(front_ends):
+        slopes = slope_file(line("members.cpu_by_members", "us/s", 0, 1, sizes=[50, 100, 200, 400]))
+        found = rows(slopes, small(fleet__front_ends=front_ends))
+        return row_of(found, "CPU of membership", situation=Situation.REST).ground.seen_from
+
+    assert (told(49), told(50)) == (50, None)
 
 
 @pytest.mark.parametrize(("last", "said"), [(640, "at least"), (42, "at most")])
