Types of the decisions in a file of their own; ruff format of the whole tree in make test

Change: what one front end remembers (Transmission, Trigger, Executor, Fleet, a function without its ranking, FrontEnd's attributes, the resumes' bookkeeping) stands in petrelway/choice_state.py. Tuned values and decisions stay in choice.py, which hands in what it computed from them; the ranking is the class Function there (order, rank, ranked).

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 test: $(STAMP)
 	$(PY) -m ruff check petrelway tests benchmarks
+	$(PY) -m ruff format --check petrelway tests benchmarks
 	$(PY) -m pytest
 
 demo: $(STAMP)
--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -2,7 +2,8 @@
 
 How to call it: make a FrontEnd, tell it all that happens through its input methods (they only
 update what is known), then call decide(now) until it returns None and carry each Decision out.
-released() hands back the indices that may be used anew. The types are in petrelway/interface.py.
+released() hands back the indices that may be used anew. The types that a host sees are in
+petrelway/interface.py, those of what is remembered in petrelway/choice_state.py.
 The ordinary path is `choose`; the five rules stand in Gate, which every send passes.
 """
 
@@ -14,11 +15,28 @@
 from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Iterable
-from hashlib import blake2b
 
+from .choice_state import Deadlines, Executor, Fleet, FrontEndState, FunctionState, Transmission, Trigger
 from .interface import (
-    NEVER_RAN, ColdRule, Customer, Decision, Effect, Keeping, Listing, LoadRation, Outcome, Part, Permits,
-    Place, Released, Scope, Stage, Tariff, Verb, Warmth)
+    NEVER_RAN,
+    ColdRule,
+    Customer,
+    Decision,
+    Effect,
+    Keeping,
+    Listing,
+    LoadRation,
+    Outcome,
+    Part,
+    Permits,
+    Place,
+    Released,
+    Scope,
+    Stage,
+    Tariff,
+    Verb,
+    Warmth,
+)
 
 # Tuned values. Times in ms.
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
@@ -80,123 +98,11 @@
 MIX = 0x9E3779B97F4A7C15  # an odd number with scattered bits, for the shared rank
 
 
-class Transmission:
-    """One transmission that is out."""
-
-    def __init__(self, number: int, executor: Executor, function: Function, sent_ms: float,
-                 due_ms: float) -> None:
-        self.number, self.executor, self.function = number, executor, function
-        self.sent_ms, self.due_ms = sent_ms, due_ms
-        self.busy = True  # not known to wait for a load
-        self.overdue = self.withdrawn = False
-
-
-class Trigger:
-    """One trigger, from the taking to the end of its last transmission."""
-
-    def __init__(self, index: int, kind: int, tariff: Tariff, permits: Permits, customer: int,
-                 function: Function, size: float, now: float, remaining_ms: float, repeat: bool,
-                 luck: float) -> None:
-        self.permits = permits
-        self.index, self.kind, self.tariff, self.customer = index, kind, tariff, customer  # kind: its index
-        self.function, self.size, self.work_ms = function, size, 0.0  # 0: no work told
-        self.answer_by = now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2)
-        self.quoted_by = now + tariff.quoted_ms
-        self.patient_until = max(self.quoted_by, now + PATIENCE * remaining_ms) - LOOK_AGAIN_MS
-        self.out: dict[int, Transmission] = {}
-        self.sent = 0
-        self.ran: list[tuple[int, int, float]] = []  # hall, cell, time of ended sends that may have run
-        self.answered, self.taken_ms = False, now  # answered: no answer is owed any more
-        self.repeat, self.luck = repeat, luck  # its draw where a budget is a fraction of one trigger
-        self.tried: set[int] = set()  # executors that failed it
-        self.missed: set[int] = set()  # and those that lacked its function
-
-
-class Executor:
-    """What is known of one executor process."""
-
-    def __init__(self, listing: Listing, now: float, fleet: Fleet) -> None:
-        self.listing, self.fleet = listing, fleet
-        self.listed = self.crowded = False  # counted in the fleet, and there among those at their limit
-        self.orders: dict[int, float] = {}  # function -> when ordered
-        self.told_ms = now  # when the present stage was first told
-        self.salt = int.from_bytes(blake2b(listing.stable.encode(), digest_size=8).digest(), "big")
-        self.out: dict[tuple[int, int], Transmission] = {}
-        self.busy = 0  # those of them that do not wait for a load
-        self.restart(listing)
-
-    def restart(self, listing: Listing) -> None:
-        """A new process: empty, unheard, and well until it shows otherwise."""
-        self.resume: dict[int, float] = {}  # function -> when last seen
-        self.pace, self.paced_ms = 0.0, -math.inf  # 0: unheard
-        self.cut_ms = -math.inf
-        self.weigh(0, LIMIT_START)
-        self.refused: dict[int, float] = {}  # customer -> until when
-        self.errors: dict[int, tuple[float, float]] = {}  # tariff -> share of errors, when
-        self.cold_sends: deque[float] = deque()
-        for index in list(self.orders):
-            self.loaded(index)
-
-    def weigh(self, more: int, limit: float = 0.0) -> None:
-        """So many more own triggers that wait for no load, and another limit if one is given."""
-        self.busy, self.limit = self.busy + more, limit or self.limit
-        if (self.busy >= self.limit) is not self.crowded:
-            self.crowded = not self.crowded
-            self.fleet.crowded += self.listed * (1 if self.crowded else -1)
-
-    def ordered(self, function: int, now: float) -> None:
-        if function not in self.orders and self.listed:
-            self.fleet.count(function, 1)
-        self.orders[function] = now
-
-    def loaded(self, function: int) -> None:
-        """The order has ended, however."""
-        if self.orders.pop(function, None) is not None and self.listed:
-            self.fleet.count(function, -1)
-
-
-class Fleet:
-    """The executors that are ready and sums over them. Danger: counted anew for each trigger, or sorted anew
-    for each change of the list, they cost more time than all else, and the more the greater the fleet."""
-
-    def __init__(self) -> None:
-        self.ready: list[Executor] = []
-        self.crowded = self.orders = 0  # executors at their limit; own orders under way
-        self.loading: dict[int, int] = {}  # function -> own orders under way
-        self.changes: list[Executor] = []  # that came or went, in order ...
-        self.dropped = 0  # ... but for so many older ones
-
-    def list(self, e: Executor, ready: bool) -> None:
-        if ready is e.listed:
-            return
-        step, e.listed = (1 if ready else -1), ready
-        self.crowded += step * e.crowded
-        for function in e.orders:
-            self.count(function, step)
-        (self.ready.append if ready else self.ready.remove)(e)
-        self.changes.append(e)
-        if len(self.changes) > 2 * len(self.ready) + 100:
-            self.dropped += len(self.changes)
-            self.changes.clear()
-
-    def count(self, function: int, step: int) -> None:
-        self.orders += step
-        self.loading[function] = left = self.loading.get(function, 0) + step
-        if not left:
-            del self.loading[function]
-
-
-class Function:
-    """What is known of one function."""
+class Function(FunctionState):
+    """What is known of one function, and how the executors rank for it."""
 
     def __init__(self, index: int, stable: str, lanes: int, load_ms: float, now: float) -> None:
-        self.index = index
-        self.salt = int.from_bytes(blake2b(stable.encode(), digest_size=8).digest(), "big")
-        self.lanes, self.load_ms = max(1, lanes), load_ms or UNHEARD_LOAD_MS
-        self.usual_load_ms = load_ms  # with nothing in its way; 0: neither told nor seen
-        self.mean_ms, self.used_ms, self.asked = 0.0, now, 0.0
-        self.held: dict[int, None] = {}  # triggers that wait for a copy
-        self.skilled: dict[int, Executor] = {}  # whose resumes have it
+        super().__init__(index, stable, lanes, load_ms or UNHEARD_LOAD_MS, load_ms, now)
         self.order: list[Executor] = []  # ready ones by rank ...
         self.seen = -1  # ... after so many changes of the fleet
 
@@ -226,8 +132,15 @@
 class Gate:
     """The five rules, at the one place that every transmission, order and final answer passes."""
 
-    def __init__(self, cold: ColdRule, ration: LoadRation, told_rate: float, own: float,
-                 chance: random.Random, start: float) -> None:
+    def __init__(
+        self,
+        cold: ColdRule,
+        ration: LoadRation,
+        told_rate: float,
+        own: float,
+        chance: random.Random,
+        start: float,
+    ) -> None:
         self.cold, self.ration, self.told_rate = cold, ration, told_rate  # the rate: of all front ends, a ms
         self.strict, self.chance, self.start = (told_rate, start), chance, start  # the least rate told lately
         self.own, self.part = own, Part(own, start)  # shares of the fleet's rations: what is told has an end
@@ -251,8 +164,7 @@
         tariff = t.tariff
         if tariff.effect is not Effect.STAMPED:
             return tariff.effect is Effect.HARMLESS
-        out = [(x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values()]
-        for hall, cell, sent_ms in t.ran + out:
+        for hall, cell, sent_ms in (*t.ran, *map(Transmission.run, t.out.values())):
             if now > sent_ms + tariff.window_ms - WINDOW_EARLY_MS:
                 return False
             scope = tariff.scope
@@ -331,36 +243,31 @@
         return t.tariff.effect is Effect.STAMPED and t.tariff.scope is Scope.ALL
 
 
-class FrontEnd:
+class FrontEnd(FrontEndState):
     """One instance: what it knows and what it decides."""
 
-    def __init__(self, now: float, seed: int, place: Place, tariffs: list[Tariff], customers: list[Customer],
-                 permits: Permits, keeping: Keeping, cold: ColdRule, ration: LoadRation) -> None:
+    def __init__(
+        self,
+        now: float,
+        seed: int,
+        place: Place,
+        tariffs: list[Tariff],
+        customers: list[Customer],
+        permits: Permits,
+        keeping: Keeping,
+        cold: ColdRule,
+        ration: LoadRation,
+    ) -> None:
+        super().__init__(now)
         self.chance = random.Random(seed)
         self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
-        self.gate = Gate(cold, ration, sum(c.rate for c in customers) / 1000.0, 1.0 / max(1, place.peers),
-                         self.chance, now)
-        self.executors: dict[int, Executor] = {}
-        self.fleet = Fleet()
-        self.ready = self.fleet.ready
-        self.warm: dict[int, int] = {}  # machine kind -> warm executors ready
-        self.triggers: dict[int, Trigger] = {}
-        self.functions: dict[int, Function] = {}
-        self.attention: deque[int] = deque()
-        self.due: list[tuple[float, int]] = []  # when to look at a trigger; -1: tidy up
-        self.wake_ms = math.inf
-        self.stall_ms = -math.inf  # when the last stall of this front end itself was noticed
-        self.wanted: dict[int, Executor] = {}  # function -> where it was missed last
-        self.under_way: dict[tuple[int, int], float] = {}  # own orders: executor, function -> overdue from
+        self.gate = Gate(
+            cold, ration, sum(c.rate for c in customers) / 1000.0, 1.0 / max(1, place.peers), self.chance, now
+        )
         self.loads, self.loads_cut_ms = LOADS_START, -math.inf
         self.seconds = SECOND_SAVED
-        self.late = 0.0  # share of late answers
         self.limit, self.cut_ms = LIMIT_START, -math.inf  # for all own triggers, in all but a rich view
-        self.asked, self.asked_ms, self.start, self.out = 0.0, now, now, 0
         self.mean_ms = self.mean_size = self.quick_ms = UNHEARD_SIZE_MS
-        self.kind_pace: dict[int, float] = {}
-        self.free = Released([], [], [])
-        self.at = -1  # the trigger that decide is at
         heapq.heappush(self.due, (now + TIDY_MS * self.chance.random(), -1))
 
     def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
@@ -369,44 +276,64 @@
             named.add(listing.executor)
             e = self.executors.get(listing.executor)
             if e is None:
-                e = self.executors[listing.executor] = Executor(listing, now, self.fleet)
+                e = self.executors[listing.executor] = Executor(listing, now, self.fleet, LIMIT_START)
             elif listing.started_ms > e.listing.started_ms:
                 self._unskilled(e, *map(self.functions.__getitem__, e.resume))
-                e.restart(listing)
-            e.told_ms = e.told_ms if listing.stage is e.listing.stage else now
-            e.listing = listing
-            self.fleet.list(e, listing.stage is Stage.READY)
+                e.restart(LIMIT_START)
+            e.list(listing, now)
         if complete:
             for index, e in self.executors.items():
                 if index not in named and e.listing.stage is not Stage.GONE:
-                    e.listing, e.told_ms = e.listing._replace(stage=Stage.GONE), now
-                    self.fleet.list(e, False)
+                    e.list(e.listing._replace(stage=Stage.GONE), now)
         for f in self.functions.values():
             self.attention.extend(f.held)
 
-    def function_named(self, now: float, function: int, stable: str, memory_mb: float, lanes: int,
-                       load_ms: float) -> None:
+    def function_named(
+        self, now: float, function: int, stable: str, memory_mb: float, lanes: int, load_ms: float
+    ) -> None:
         """Once for each index, before the function's first trigger."""
         self.functions[function] = Function(function, stable, lanes, load_ms, now)
 
-    def trigger_taken(self, now: float, trigger: int, tariff: int, customer: int, function: int,
-                      remaining_ms: float, work_ms: float, repeat: bool) -> None:
+    def trigger_taken(
+        self,
+        now: float,
+        trigger: int,
+        tariff: int,
+        customer: int,
+        function: int,
+        remaining_ms: float,
+        work_ms: float,
+        repeat: bool,
+    ) -> None:
         f = self.functions[function]
         size = work_ms or f.mean_ms or self.mean_ms
         self.mean_size += 0.02 * (size - self.mean_size)
         self.asked = self.asked * math.exp((self.asked_ms - now) / ASKED_SPAN_MS) + size
         f.asked = f.asked * math.exp((f.used_ms - now) / ASKED_SPAN_MS) + size
         self.asked_ms = f.used_ms = now
-        t = Trigger(trigger, tariff, self.tariffs[tariff], self.permits, customer, f, size, now, remaining_ms,
-                    repeat, self.chance.random())
+        terms, luck = self.tariffs[tariff], self.chance.random()
+        deadlines = Deadlines(
+            answer_by=now + remaining_ms - min(ANSWER_EARLY_MS, remaining_ms / 2),
+            quoted_by=now + terms.quoted_ms,
+            patient_until=max(now + terms.quoted_ms, now + PATIENCE * remaining_ms) - LOOK_AGAIN_MS,
+        )
+        t = Trigger(trigger, tariff, terms, self.permits, customer, f, size, now, deadlines, repeat, luck)
         self.triggers[trigger], t.work_ms = t, work_ms
         self.gate.taken.append(now)
         self.seconds = min(SECOND_SAVED, self.seconds + SECOND_SHARE)
         self.attention.append(trigger)
         heapq.heappush(self.due, (t.answer_by, trigger))
 
-    def transmission_ended(self, now: float, trigger: int, number: int, outcome: Outcome, took_ms: float,
-                           finished: bool, warmth: Warmth) -> None:
+    def transmission_ended(
+        self,
+        now: float,
+        trigger: int,
+        number: int,
+        outcome: Outcome,
+        took_ms: float,
+        finished: bool,
+        warmth: Warmth,
+    ) -> None:
         t = self.triggers.get(trigger)
         sent = t.out.pop(number, None) if t else None
         if t is None or sent is None:
@@ -418,7 +345,7 @@
         if not self.keeping.answers_miss:
             e.loaded(f.index)
         if outcome not in NEVER_RAN:
-            t.ran.append((e.listing.hall, e.listing.cell, sent.sent_ms))
+            t.ran.append(sent.run())
         t.answered = t.answered or finished
         if sent.sent_ms >= e.listing.started_ms or not e.listing.started_ms:
             self._learn(now, t, sent, outcome, took_ms, warmth)
@@ -426,8 +353,9 @@
             t.tried.add(e.listing.executor)
         self.attention.append(trigger)
 
-    def _learn(self, now: float, t: Trigger, sent: Transmission, outcome: Outcome, took_ms: float,
-               warmth: Warmth) -> None:
+    def _learn(
+        self, now: float, t: Trigger, sent: Transmission, outcome: Outcome, took_ms: float, warmth: Warmth
+    ) -> None:
         e, f = sent.executor, t.function
         # danger: one that fails fast always has a free lane, and may fail one tariff only: the answers to the
         # others heal its pace. What nobody ever served fails anywhere, and says nothing of it
@@ -464,15 +392,6 @@
         most = FAILED * AILING_PACE * self.kind_pace.get(e.listing.machine, 1.0)
         e.pace, e.paced_ms = min(FAILED * self.pace(e, now), most), now
 
-    def _skilled(self, e: Executor, f: Function, now: float) -> None:
-        e.resume[f.index] = now
-        f.skilled[e.listing.executor] = e
-
-    def _unskilled(self, e: Executor, *functions: Function) -> None:
-        for f in functions:
-            e.resume.pop(f.index, None)
-            f.skilled.pop(e.listing.executor, None)
-
     def _untimely(self, now: float) -> bool:
         if now > self.wake_ms + STALL_MS:
             self.stall_ms = now
@@ -517,8 +436,9 @@
     def _load_seen(self, f: Function, took_ms: float) -> None:
         f.load_ms += LOAD_GAIN * (min(max(0.0, took_ms), PACE_CLIP * f.load_ms) - f.load_ms)
 
-    def order_answered(self, now: float, executor: int, function: int, outcome: Outcome, copies: int,
-                       took_ms: float) -> None:
+    def order_answered(
+        self, now: float, executor: int, function: int, outcome: Outcome, copies: int, took_ms: float
+    ) -> None:
         self.under_way.pop((executor, function), None)
         e, f = self.executors.get(executor), self.functions.get(function)
         if e is None or f is None:
@@ -549,8 +469,9 @@
                 self.gate.taken.remove(t.taken_ms)
             self.attention.append(trigger)
 
-    def terms_told(self, now: float, tariffs: list[Tariff], customers: list[Customer],
-                   permits: Permits) -> None:
+    def terms_told(
+        self, now: float, tariffs: list[Tariff], customers: list[Customer], permits: Permits
+    ) -> None:
         """What is taken from now on goes by these; a trigger keeps the terms that it was taken under."""
         self.tariffs, self.permits = tariffs, permits
         self.gate.rate_told(now, sum(c.rate for c in customers) / 1000.0)
@@ -710,15 +631,20 @@
         with no free lane by our count and past variance x mean; else overflow to an unskilled one."""
         f = t.function
         order = f.ranked(self.fleet)
-        some = [*f.skilled.values(), *order[:self.homes(f, now)]]
+        some = [*f.skilled.values(), *order[: self.homes(f, now)]]
         step = len(some) // MANY
-        homes = dict.fromkeys(some[int(self.chance.random() * step)::step] if step > 1 else some)
+        homes = dict.fromkeys(some[int(self.chance.random() * step) :: step] if step > 1 else some)
         skilled = [e for e in homes if self._fit(t, e, now)]
         mean = self.out / max(1, len(self.ready)) * self.mean_ms
         limit = VARIANCE * max(mean, self.mean_ms)
         sparse = self.view(now) < SPARSE  # danger: then our counts of what is in flight tell nothing
-        kept = [e for e in skilled if not sparse and sum(x.function is f for x in e.out.values()) < f.lanes
-                or self.backlog(e, now) + sparse * self.pace(e, now) * self.mean_size <= limit]
+        kept = [
+            e
+            for e in skilled
+            if not sparse
+            and sum(x.function is f for x in e.out.values()) < f.lanes
+            or self.backlog(e, now) + sparse * self.pace(e, now) * self.mean_size <= limit
+        ]
         if kept:
             return min(kept, key=lambda e: (self._expected(e, t, now), self.chance.random()))
         # danger: in an overload every function would overflow at once, and the loads make all slower
@@ -757,7 +683,7 @@
         if skilled:  # while another one could still be in time
             due_ms = min(due_ms, max(now + OVERDUE_LEAST * expected, t.quoted_by - 1.5 * expected))
         # danger: a stamped one that waits for a load may end as never run, and still binds what is beside it
-        t.ran.extend((x.executor.listing.hall, x.executor.listing.cell, x.sent_ms) for x in t.out.values())
+        t.ran.extend(map(Transmission.run, t.out.values()))
         sent = Transmission(t.sent, e, f, now, due_ms)
         t.out[t.sent] = e.out[(t.index, t.sent)] = sent
         self.out += 1
@@ -802,8 +728,7 @@
         self.gate.forget(now)
         self.warm = dict(Counter(e.listing.machine for e in self.ready if not self.gate.is_cold(e, now)))
         for e in self.executors.values():
-            for index in [i for i, at in e.resume.items()
-                          if now - at > self.keeping.least_keep_ms]:
+            for index in [i for i, at in e.resume.items() if now - at > self.keeping.least_keep_ms]:
                 self._unskilled(e, self.functions[index])
             while e.cold_sends and now - e.cold_sends[0] > 2 * self.gate.cold.warm_ms:
                 e.cold_sends.popleft()
@@ -812,13 +737,18 @@
         self.wanted = {i: e for i, e in self.wanted.items() if i in busy}
         # danger: one that hangs must not stop all loads
         self.under_way = {order: overdue for order, overdue in self.under_way.items() if now < overdue}
-        gone = [i for i, e in self.executors.items() if e.listing.stage is Stage.GONE and not e.out
-                and now > e.told_ms + self.keeping.order_timeout_ms]
+        gone = [
+            i
+            for i, e in self.executors.items()
+            if e.listing.stage is Stage.GONE and not e.out and now > e.told_ms + self.keeping.order_timeout_ms
+        ]
         old = [i for i, f in self.functions.items() if i not in busy and now - f.used_ms > FORGET_FUNCTION_MS]
         for e in map(self.executors.__getitem__, gone):
             self._unskilled(e, *map(self.functions.__getitem__, e.resume))
-        for known, stale, free in ((self.executors, gone, self.free.executors),
-                                   (self.functions, old, self.free.functions)):
+        for known, stale, free in (
+            (self.executors, gone, self.free.executors),
+            (self.functions, old, self.free.functions),
+        ):
             for index in stale:
                 del known[index]
             free.extend(stale)
--- /dev/null
+++ b/petrelway/choice_state.py
@@ -0,0 +1,248 @@
+"""What one front end remembers: its triggers, their transmissions, the executors and the functions.
+
+The types here keep facts and sums over them. They decide nothing and hold no tuned value: `choice.py` does
+both, and hands in what it computed from its tuned values (limits, times, first guesses). Only `choice.py`
+changes them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from hashlib import blake2b
+from typing import NamedTuple
+
+from .interface import Listing, Permits, Released, Stage, Tariff
+
+SALT_BYTES = 8  # a salt is a hash of a stable name, the same at all front ends
+CHANGES_LEAST = 100  # a fleet remembers this many changes and twice as many as it has ready executors
+
+
+def salt_of(stable: str) -> int:
+    """The hash of a stable name, as an integer of SALT_BYTES."""
+    return int.from_bytes(blake2b(stable.encode(), digest_size=SALT_BYTES).digest(), "big")
+
+
+class Run(NamedTuple):
+    """Where and when a trigger may have run."""
+
+    hall: int
+    cell: int
+    sent_ms: float
+
+
+class Transmission:
+    """One transmission that is out."""
+
+    def __init__(
+        self, number: int, executor: Executor, function: FunctionState, sent_ms: float, due_ms: float
+    ) -> None:
+        self.number = number
+        self.executor = executor
+        self.function = function
+        self.sent_ms = sent_ms
+        self.due_ms = due_ms
+        self.busy = True  # not known to wait for a load
+        self.overdue = False
+        self.withdrawn = False
+
+    def run(self) -> Run:
+        """Where it went, by the present list."""
+        listing = self.executor.listing
+        return Run(listing.hall, listing.cell, self.sent_ms)
+
+
+class Deadlines(NamedTuple):
+    """The times that end what a trigger may wait for."""
+
+    answer_by: float  # the final answer
+    quoted_by: float  # an answer within the quoted time
+    patient_until: float  # a load, or an executor at all
+
+
+class Trigger:
+    """One trigger, from the taking to the end of its last transmission."""
+
+    def __init__(
+        self,
+        index: int,
+        kind: int,
+        tariff: Tariff,
+        permits: Permits,
+        customer: int,
+        function: FunctionState,
+        size: float,
+        taken_ms: float,
+        deadlines: Deadlines,
+        repeat: bool,
+        luck: float,
+    ) -> None:
+        self.index = index
+        self.kind = kind  # the tariff's index
+        self.tariff = tariff
+        self.permits = permits
+        self.customer = customer
+        self.function = function
+        self.size = size
+        self.work_ms = 0.0  # 0: no work told
+        self.taken_ms = taken_ms
+        self.answer_by = deadlines.answer_by
+        self.quoted_by = deadlines.quoted_by
+        self.patient_until = deadlines.patient_until
+        self.repeat = repeat
+        self.luck = luck  # its draw where a budget is a fraction of one trigger
+        self.out: dict[int, Transmission] = {}
+        self.sent = 0
+        self.ran: list[Run] = []  # ended transmissions that may have run
+        self.answered = False  # no answer is owed any more
+        self.tried: set[int] = set()  # executors that failed it
+        self.missed: set[int] = set()  # and those that lacked its function
+
+
+class Executor:
+    """What is known of one executor process."""
+
+    def __init__(self, listing: Listing, now: float, fleet: Fleet, limit: float) -> None:
+        self.listing = listing
+        self.fleet = fleet
+        self.listed = False  # counted in the fleet ...
+        self.crowded = False  # ... and there among those at their limit
+        self.orders: dict[int, float] = {}  # function -> when ordered
+        self.told_ms = now  # when the present stage was first told
+        self.salt = salt_of(listing.stable)
+        self.out: dict[tuple[int, int], Transmission] = {}
+        self.busy = 0  # those of them that do not wait for a load
+        self.restart(limit)
+
+    def restart(self, limit: float) -> None:
+        """A new process: empty, unheard, and well until it shows otherwise."""
+        self.resume: dict[int, float] = {}  # function -> when last seen
+        self.pace = 0.0  # 0: unheard
+        self.paced_ms = -math.inf
+        self.cut_ms = -math.inf
+        self.weigh(0, limit)
+        self.refused: dict[int, float] = {}  # customer -> until when
+        self.errors: dict[int, tuple[float, float]] = {}  # tariff -> share of errors, when
+        self.cold_sends: deque[float] = deque()
+        for index in tuple(self.orders):
+            self.loaded(index)
+
+    def list(self, listing: Listing, now: float) -> None:
+        """What the newest list says of it."""
+        if listing.stage is not self.listing.stage:
+            self.told_ms = now
+        self.listing = listing
+        self.fleet.list(self, listing.stage is Stage.READY)
+
+    def weigh(self, more: int, limit: float = 0.0) -> None:
+        """So many more own triggers that wait for no load, and another limit if one is given."""
+        self.busy += more
+        self.limit = limit or self.limit
+        if (self.busy >= self.limit) is not self.crowded:
+            self.crowded = not self.crowded
+            self.fleet.crowded += self.listed * (1 if self.crowded else -1)
+
+    def ordered(self, function: int, now: float) -> None:
+        """An order to load this function goes out."""
+        if function not in self.orders and self.listed:
+            self.fleet.count(function, 1)
+        self.orders[function] = now
+
+    def loaded(self, function: int) -> None:
+        """The order has ended, however."""
+        if self.orders.pop(function, None) is not None and self.listed:
+            self.fleet.count(function, -1)
+
+
+class Fleet:
+    """The executors that are ready and sums over them. Danger: counted anew for each trigger, or sorted anew
+    for each change of the list, they cost more time than all else, and the more the greater the fleet."""
+
+    def __init__(self) -> None:
+        self.ready: list[Executor] = []
+        self.crowded = 0  # executors at their limit
+        self.orders = 0  # own orders under way
+        self.loading: dict[int, int] = {}  # function -> own orders under way
+        self.changes: list[Executor] = []  # that came or went, in order ...
+        self.dropped = 0  # ... but for so many older ones
+
+    def list(self, executor: Executor, ready: bool) -> None:
+        """Count this executor among the ready ones, or no longer."""
+        if ready is executor.listed:
+            return
+        step = 1 if ready else -1
+        executor.listed = ready
+        self.crowded += step * executor.crowded
+        for function in executor.orders:
+            self.count(function, step)
+        if ready:
+            self.ready.append(executor)
+        else:
+            self.ready.remove(executor)
+        self.changes.append(executor)
+        if len(self.changes) > 2 * len(self.ready) + CHANGES_LEAST:
+            self.dropped += len(self.changes)
+            self.changes.clear()
+
+    def count(self, function: int, step: int) -> None:
+        """So many more own orders under way for this function."""
+        self.orders += step
+        left = self.loading.get(function, 0) + step
+        self.loading[function] = left
+        if not left:
+            del self.loading[function]
+
+
+class FunctionState:
+    """What is known of one function, but for how the executors rank for it."""
+
+    def __init__(
+        self, index: int, stable: str, lanes: int, load_ms: float, usual_load_ms: float, now: float
+    ) -> None:
+        self.index = index
+        self.salt = salt_of(stable)
+        self.lanes = max(1, lanes)
+        self.load_ms = load_ms
+        self.usual_load_ms = usual_load_ms  # with nothing in its way; 0: neither told nor seen
+        self.mean_ms = 0.0
+        self.used_ms = now
+        self.asked = 0.0
+        self.held: dict[int, None] = {}  # triggers that wait for a copy
+        self.skilled: dict[int, Executor] = {}  # whose resumes have it
+
+
+class FrontEndState:
+    """What one front end remembers of its fleet and its work."""
+
+    def __init__(self, now: float) -> None:
+        self.start = now
+        self.executors: dict[int, Executor] = {}
+        self.fleet = Fleet()
+        self.ready = self.fleet.ready
+        self.warm: dict[int, int] = {}  # machine kind -> warm executors ready
+        self.kind_pace: dict[int, float] = {}  # machine kind -> its usual pace
+        self.functions: dict[int, FunctionState] = {}
+        self.triggers: dict[int, Trigger] = {}
+        self.out = 0  # transmissions that are out and not overdue
+        self.attention: deque[int] = deque()  # triggers to look at now
+        self.at = -1  # the trigger that decide is at
+        self.due: list[tuple[float, int]] = []  # when to look at a trigger; -1: tidy up
+        self.wake_ms = math.inf
+        self.stall_ms = -math.inf  # when the last stall of this front end itself was noticed
+        self.wanted: dict[int, Executor] = {}  # function -> where it was missed last
+        self.under_way: dict[tuple[int, int], float] = {}  # own orders: executor, function -> overdue from
+        self.late = 0.0  # share of late answers
+        self.asked = 0.0  # size of the triggers taken lately ...
+        self.asked_ms = now  # ... up to this time
+        self.free = Released([], [], [])
+
+    def _skilled(self, executor: Executor, function: FunctionState, now: float) -> None:
+        """This executor has this function."""
+        executor.resume[function.index] = now
+        function.skilled[executor.listing.executor] = executor
+
+    def _unskilled(self, executor: Executor, *functions: FunctionState) -> None:
+        """This executor has these functions no more."""
+        for function in functions:
+            executor.resume.pop(function.index, None)
+            function.skilled.pop(executor.listing.executor, None)
