--- a/benchmarks/capacity_changes.py
+++ b/benchmarks/capacity_changes.py
@@ -14,7 +14,7 @@
 from petrelway.capacity.slopes import Evidence, Slope, fit
 from petrelway.emulator.policy_traffic import REST_S, VOTERS, ObservedCouncil, SpanCost, document
 
-SIZES = (9, 20, 40, 80, 160, 300)
+SIZES = (9, 20, 40, 80, 160, 300, 600)
 QUICK_SIZES = (9, 18, 36, 72)
 REPEATS = 3  # of the one change: its time depends on which voter the entry asks first, its CPU varies
 BURST = 5
--- a/petrelway/emulator/policy_traffic.py
+++ b/petrelway/emulator/policy_traffic.py
@@ -57,12 +57,14 @@
     """What a span of simulated time cost the leader, and the mean member that is neither voter nor entry.
 
     `duration_s`: from the operators' request until the changes were active at every member or given up;
-    `states`: how each change ended, in the order asked for.
+    `member` is the mean and `most_member_messages` the largest of those members; `states`: how each change
+    ended, in the order asked for.
     """
 
     duration_s: float
     leader: Traffic
     member: Traffic
+    most_member_messages: float
     leader_cpu_us: float
     states: tuple[str, ...] = ()
 
@@ -192,11 +194,12 @@
         cpu_before_ns = self.cpu_ns[leader]
         began_s = self.sim.now_s
         states = span() or ()
-        after = {number: self.traffic(number) for number in (leader, *members)}
+        spent = {number: _difference(start, self.traffic(number)) for number, start in before.items()}
         return SpanCost(
             duration_s=self.sim.now_s - began_s,
-            leader=_difference(before[leader], after[leader]),
-            member=_mean([_difference(before[number], after[number]) for number in members]),
+            leader=spent[leader],
+            member=_mean([spent[number] for number in members]),
+            most_member_messages=max(spent[number].messages for number in members),
             leader_cpu_us=(self.cpu_ns[leader] - cpu_before_ns) / 1e3,
             states=states,
         )
