--- a/petrelway/capacity/configuration.py
+++ b/petrelway/capacity/configuration.py
@@ -62,7 +62,8 @@
         "messages/s",
         None,
         VISITS,
-        measured(LEADER_MESSAGES, front_ends, configuration_changes),
+        measured(LEADER_MESSAGES, front_ends, configuration_changes)
+        + measured("changes.leader_received_messages_by_members", front_ends, configuration_changes),
     ),
     _leader_on_a_day(
         "bytes of changes",
