Capacity: more of members and of list changes; nothing past a datagram's bound

Cause: trial slopes of members to 200 carried bytes past what the messages can hold, and a cost that fell by scatter came to nothing at the target. Change: bytes of membership count both ways and are held at messages times DATAGRAM_BOUND, which the row says; a falling cost is held at what was seen last; rows for starts of all, a member cut off, resident memory, list changes by functions known and ranks brought up to date. Result: tests and doctests of the model pass.

--- a/petrelway/capacity/entries.py
+++ b/petrelway/capacity/entries.py
@@ -53,12 +53,21 @@
     amount: Callable[[Size], float]
 
 
+class Ceiling(NamedTuple):
+    """What an amount can't be over, by a named bound of the program: `factor` x another slope's cost."""
+
+    name: str
+    slope: str
+    factor: float
+
+
 class Term(NamedTuple):
     """`times` x the slope's cost at `at`; without a slope `times` x `at`, which is arithmetic."""
 
     slope: str | None
     at: Measure
     times: Measure = lambda w: 1.0
+    ceiling: Ceiling | None = None
 
 
 class Entry(NamedTuple):
--- a/petrelway/capacity/front_end.py
+++ b/petrelway/capacity/front_end.py
@@ -55,6 +55,11 @@
     return w.calls_a_front_end
 
 
+def ranks_changed(w: Workload) -> float:
+    """Each change of the list costs each known function once, at its next call."""
+    return w.list_changes * w.functions_known
+
+
 def whole_list_bytes(w: Workload) -> float:
     return HEAD.size + RECORD.size * w.executors
 
@@ -131,6 +136,20 @@
         WHOLE_LIST,
         measured(LIST_CHANGE_CPU, executors, list_changes),
     ),
+    _on_a_day(
+        "CPU of list changes, by functions known",
+        "us/s",
+        CONTROL_CPU,
+        FORGETTING,
+        measured("front_end.list_change_cpu_by_functions", functions_known, list_changes),
+    ),
+    _on_a_day(
+        "CPU of ranks brought up to date, all functions known",
+        "us/s",
+        CONTROL_CPU,
+        RANKING,
+        measured("front_end.ranking_change_cpu_by_executors", executors, ranks_changed),
+    ),
 )
 DAY_BYTES = (
     _on_a_day("bytes of list changes", "B/s", CONTROL_BYTES, LIST_EVENTS, arithmetic(list_bytes_a_second)),
--- a/petrelway/capacity/membership.py
+++ b/petrelway/capacity/membership.py
@@ -4,16 +4,18 @@
 
 from functools import partial
 
+from ..fleet.words import DATAGRAM_BOUND
 from .entries import (
     CONTROL_BYTES,
     CONTROL_CPU,
     CONTROL_MEMORY,
+    Ceiling,
     Entry,
     Limit,
     Role,
     Situation,
+    Term,
     front_ends,
-    measured,
 )
 
 ALL_MEMBERS = "each member keeps all others"
@@ -21,12 +23,31 @@
 SUSPICION = "suspicion, then proof by the port"
 KNOCKING = "pings to members not heard yet, bounded a period"
 CUT = "members held suspect until heard again"
+SENT_AND_RECEIVED = 2.0
+MEASURED_GROUP = "members"
+MESSAGES_OF = {
+    "bytes_by_members": "messages_by_members",
+    "rack_bytes_by_members": "rack_messages_by_members",
+}
+EMULATED_GROUP = "members_emulated"
+
+
+def _ceiling(group: str, slope: str) -> Ceiling | None:
+    """Danger: bytes near the bound of a datagram grow no further, and a line through them would."""
+    messages = MESSAGES_OF.get(slope)
+    if messages is None:
+        return None
+    return Ceiling("DATAGRAM_BOUND of each message", f"{group}.{messages}", DATAGRAM_BOUND)
 
 
 def _entry(
     group: str, situation: Situation, quantity: str, slope: str, unit: str, limit: Limit | None, by: str
 ) -> Entry:
-    """An entry of the group's slope, evaluated at the number of front ends."""
+    """An entry of the group's slope, evaluated at the number of front ends.
+
+    Rates of bytes are measured as sent; on the mean a member receives as many, and both count.
+    """
+    ways = SENT_AND_RECEIVED if unit == "B/s" else 1.0
     emulated = group != MEASURED_GROUP
     return Entry(
         Role.FRONT_END,
@@ -35,15 +56,11 @@
         unit,
         limit,
         by,
-        measured(f"{group}.{slope}", front_ends),
+        (Term(f"{group}.{slope}", front_ends, lambda w: ways, _ceiling(group, slope)),),
         shown_unmeasured=not emulated,
     )
 
 
-MEASURED_GROUP = "members"
-EMULATED_GROUP = "members_emulated"
-
-
 def group_entries(group: str) -> dict[str, Entry]:
     """The entries of one group of slopes, by the slope's name within the group."""
     entry = partial(_entry, group)
@@ -51,18 +68,31 @@
     zone, parted = Situation.ZONE, Situation.PARTED
     entries = (
         ("memory_by_members", rest, "memory of members", "B", CONTROL_MEMORY, ALL_MEMBERS),
+        ("resident_by_members", rest, "memory of members, resident", "B", CONTROL_MEMORY, ALL_MEMBERS),
         ("cpu_by_members", rest, "CPU of membership", "us/s", CONTROL_CPU, PINGS),
-        ("bytes_by_members", rest, "bytes of membership", "B/s", CONTROL_BYTES, PINGS),
-        ("messages_by_members", rest, "messages of membership", "messages/s", None, PINGS),
+        ("bytes_by_members", rest, "bytes of membership, both ways", "B/s", CONTROL_BYTES, PINGS),
+        ("messages_by_members", rest, "messages of membership, sent", "messages/s", None, PINGS),
         ("join_s_by_members", start, "time until a new member is up to date", "s", None, KNOCKING),
         ("join_bytes_by_members", start, "bytes until a new member is up to date", "B", None, KNOCKING),
-        ("rack_bytes_by_members", rack, "bytes of membership", "B/s", CONTROL_BYTES, SUSPICION),
+        ("join_cpu_by_members", start, "CPU until a new member is up to date", "us", None, KNOCKING),
+        ("cpu_spreading_by_members", start, "CPU after a start of all", "us/s", CONTROL_CPU, PINGS),
+        (
+            "bytes_spreading_by_members",
+            start,
+            "bytes after a start of all, both ways",
+            "B/s",
+            CONTROL_BYTES,
+            PINGS,
+        ),
+        ("rack_bytes_by_members", rack, "bytes of membership, both ways", "B/s", CONTROL_BYTES, SUSPICION),
         ("rack_cpu_by_members", rack, "CPU of membership", "us/s", CONTROL_CPU, SUSPICION),
+        ("rack_messages_by_members", rack, "messages of membership, sent", "messages/s", None, SUSPICION),
         ("rack_detected_s_by_members", rack, "time until its loss is known", "s", None, SUSPICION),
-        ("zone_bytes_by_members", zone, "bytes of membership", "B/s", CONTROL_BYTES, SUSPICION),
+        ("zone_bytes_by_members", zone, "bytes of membership, both ways", "B/s", CONTROL_BYTES, SUSPICION),
         ("zone_cpu_by_members", zone, "CPU of membership", "us/s", CONTROL_CPU, SUSPICION),
-        ("parted_bytes_by_members", parted, "bytes of membership", "B/s", CONTROL_BYTES, CUT),
+        ("parted_bytes_by_members", parted, "bytes of membership, both ways", "B/s", CONTROL_BYTES, CUT),
         ("parted_cpu_by_members", parted, "CPU of membership", "us/s", CONTROL_CPU, CUT),
+        ("cpu_alone_by_members", parted, "CPU of membership, nobody heard", "us/s", CONTROL_CPU, CUT),
     )
     return {
         slope: entry(situation, quantity, slope, unit, limit, by)
--- a/petrelway/capacity/model.py
+++ b/petrelway/capacity/model.py
@@ -68,7 +68,8 @@
     `factor` is 1 where the size was seen; `seen_up_to` is the largest size seen of the slope that is
     stretched most, counted in `dimension`; `knee` the first size off its line, if any was seen, and `bend`
     which way it leaves it; `seen_from` the smallest size seen, where this one is below it.
-    `missing` names the slopes that nobody measured.
+    `missing` names the slopes that nobody measured, `held_by` the program's bounds that keep the amount below
+    what the slope gives.
     """
 
     basis: Basis
@@ -79,6 +80,7 @@
     bend: Bend = Bend.NONE
     seen_from: float | None = None
     missing: tuple[str, ...] = ()
+    held_by: tuple[str, ...] = ()
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -191,7 +193,28 @@
     if term.slope is None:
         return term.times(at) * term.at(at)
     slope = slopes.get(term.slope)
-    return None if slope is None else term.times(at) * cost_at(slope, term.at(at))
+    if slope is None:
+        return None
+    size = term.at(at)
+    return term.times(at) * min(cost_at(slope, size), _ceiling(term, slopes, size))
+
+
+def _ceiling(term: Term, slopes: dict[str, Slope], size: float) -> float:
+    """What a bound of the program holds the term's cost at; infinite where none does."""
+    if term.ceiling is None or term.ceiling.slope not in slopes:
+        return math.inf
+    return term.ceiling.factor * cost_at(slopes[term.ceiling.slope], size)
+
+
+def _held_by(entry: Entry, slopes: dict[str, Slope], at: Workload) -> tuple[str, ...]:
+    """The bounds that hold a term of the entry below its own slope's cost."""
+    return tuple(
+        term.ceiling.name
+        for term in entry.terms
+        if term.ceiling
+        and term.slope in slopes
+        and cost_at(slopes[term.slope], term.at(at)) > _ceiling(term, slopes, term.at(at))
+    )
 
 
 def _ground(entry: Entry, slopes: dict[str, Slope], at: Workload) -> Ground:
@@ -212,6 +235,7 @@
         bend=bend(slope),
         seen_from=smallest_seen(slope) if dimension_size < smallest_seen(slope) else None,
         missing=missing,
+        held_by=_held_by(entry, slopes, at),
     )
 
 
--- a/petrelway/capacity/reach.py
+++ b/petrelway/capacity/reach.py
@@ -22,20 +22,23 @@
     On the line up to where that holds, and past it for a slope without a knee. With a knee: between the two
     measured points round the size, and past the last point on along the last two. Danger: on along a line
     that was seen to end, a cost that grows with the square of the size would look cheap. Below the smallest
-    point a line that would come to nothing, or less, before size 0 does is replaced by one through 0.
+    point a line that would come to nothing, or less, before size 0 does is replaced by one through 0. A cost
+    that fell with the size is held at what was seen last: carried on, scatter would become no cost at all.
     """
     smallest = smallest_seen(slope)
     if size < smallest and slope.base < 0.0:
         return max(0.0, slope.cost(smallest)) * size / smallest
     if slope.knee is None or size <= slope.line_up_to:
-        return max(0.0, slope.cost(size))
+        held = min(size, slope.line_up_to) if slope.slope < 0.0 else size
+        return max(0.0, slope.cost(held))
     beyond = [Point(slope.line_up_to, slope.cost(slope.line_up_to))]
     beyond += [point for point in slope.points if point.size > slope.line_up_to]
     low, high = next(
         ((low, high) for low, high in pairwise(beyond) if size <= high.size), (beyond[-2], beyond[-1])
     )
     steepness = (high.cost - low.cost) / (high.size - low.size)
-    return max(0.0, low.cost + steepness * (size - low.size))
+    held = min(size, high.size) if steepness < 0.0 else size
+    return max(0.0, low.cost + steepness * (held - low.size))
 
 
 def smallest_seen(slope: Slope) -> float:
--- a/petrelway/capacity/report.py
+++ b/petrelway/capacity/report.py
@@ -113,6 +113,7 @@
         parts.append(f"below {ground.seen_from:,.0f}, the smallest seen")
     if ground.bend is not Bend.NONE:
         parts.append(f"bends {ground.bend.value} at {ground.knee:,.0f}")
+    parts += [f"held at {name}" for name in ground.held_by]
     if ground.missing and ground.basis is not Basis.NOT_MEASURED:
         parts.append(f"without {len(ground.missing)} that nobody measured")
     return "; ".join(parts)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,6 +27,7 @@
 from petrelway.capacity.slopes import Evidence, SlopeFile, fit, read_slopes, write_slopes
 from petrelway.capacity.workload import Reading, workload
 from petrelway.commands import main
+from petrelway.fleet.words import DATAGRAM_BOUND
 from petrelway.settings.reading import SettingsFault
 from petrelway.worker.serving import LINKS_BOUND
 
@@ -316,8 +317,17 @@
     slope = line("a.b_by_c", "us", -10, 1, sizes=[20, 40, 80, 160])
     assert cost_at(slope, 20) == pytest.approx(10)
     assert cost_at(slope, 5) == pytest.approx(2.5)  # and not -5: through 0 below the smallest size seen
+
+
+def test_a_cost_that_fell_is_held_at_what_was_seen_last():
     falling = line("a.b_by_c", "us", 100, -1, sizes=[10, 20, 40, 80])
-    assert cost_at(falling, 200) == 0.0
+    assert cost_at(falling, 40) == pytest.approx(60)
+    assert cost_at(falling, 200) == cost_at(falling, 80) == pytest.approx(20)
+    points = [(5, 5), (10, 10), (20, 20), (40, 40), (80, 200), (160, 100)]
+    bent = fit("a.b_by_c", "us", "c", Evidence.MEASURED, points)
+    assert bent.knee == 80
+    assert cost_at(bent, 120) == pytest.approx(150)
+    assert cost_at(bent, 1000) == cost_at(bent, 160) == pytest.approx(100)
 
 
 def test_a_size_below_the_smallest_seen_is_said_to_be_so():
@@ -340,6 +350,23 @@
     assert said in told
 
 
+def test_bytes_are_held_at_what_the_messages_may_have():
+    def row(messages):
+        slopes = [line("members.bytes_by_members", "B/s", 100, 10)]  # 1,100 B/s sent at 100 members
+        if messages:
+            slopes.append(line("members.messages_by_members", "messages/s", messages, 0))
+        found = rows(slope_file(*slopes), small())
+        return row_of(found, "bytes of membership, both ways", situation=Situation.REST)
+
+    assert (row(0).amount, row(0).ground.held_by) == (pytest.approx(2 * 1100), ())
+    assert (row(5).amount, row(5).ground.held_by) == (pytest.approx(2 * 1100), ())  # 5 may have 1,280
+    held = row(2)
+    assert held.amount == pytest.approx(2 * 2 * DATAGRAM_BOUND)
+    assert held.ground.held_by == ("DATAGRAM_BOUND of each message",)
+    assert held.breaks_at == 41  # 2 (100 + 10 n) over 1,000, where the bound does not hold it yet
+    assert row(1).breaks_at is None  # 256 sent and 256 received are within 1,000
+
+
 # -- what breaks first
 
 
