--- a/benchmarks/capacity_changes.py
+++ b/benchmarks/capacity_changes.py
@@ -117,9 +117,9 @@
         " CPU takes no time in it"
     )
     cpu = (
-        f"process clock around the leader's turns for one change, without sockets, least of {REPEATS} or more;"
-        " each answer of a member starts a turn that visits all members, so that beyond the knee it grows with"
-        " their square and the line understates it"
+        "process clock around the leader's turns for one change, without sockets,"
+        f" least of {REPEATS} or more; each answer of a member starts a turn that visits all members,"
+        " so that beyond the knee it grows with their square and the line understates it"
     )
     return [
         _slope("leader_messages", "messages", costs, lambda c: c.change.leader.messages_sent, leader),
