What links report without an answer is written once, for sockets, platform and emulator

Cause: front/links.py, node/links.py and emulator/links.py each wrote the end without an answer, the end of orders and probes on a broken link, the log lines of an outage, the draining of what waited, and the bounds of a buffer. Change: these stand in front/link_base.py (LinkReports, SocketLinkReports); the protocol Ears is LinkListener, "order" and "probe" are the enum Question. The parameters of send and of the constructors still stand three times: the tests call them by position, and one message instead would change them.

--- a/petrelway/emulator/links.py
+++ b/petrelway/emulator/links.py
@@ -8,16 +8,15 @@
 from typing import Any
 
 from ..front.backoff import Backoff
+from ..front.link_base import NO_LOAD, LinkListener, LinkReports, Question
 from ..front.links import GREETING_MS, RETRY_LEAST_MS, RETRY_MOST_MS
 from ..front.proof import Key
 from ..interface import Outcome
 from ..standin.life import Life
 from ..standin.machine import Work
 from ..standin.memory import World
-from ..wire import codec
 from .network import DIAL_MS, Network
 
-NO_LOAD = codec.Load()
 WAITING_BOUND = 1024  # messages that nobody reads or that a cut keeps; past it the link is broken off
 
 
@@ -136,11 +135,7 @@
     def abort(self) -> None:
         if self.broken:
             return
-        self.broken = True
-        if self in self.life.wires:
-            self.life.wires.remove(self)
-        if self.life.machine is not None:
-            self.life.machine.front_lost(self)
+        self.front_gone()
         self.back.carry(self.link.hear, self, self.link.broke, self)
 
     def read_on(self, on: bool) -> None:
@@ -149,12 +144,26 @@
             self._arrive(*self.inbox.popleft())
 
 
-class EmulatedLink:
+class EmulatedLink(LinkReports):
     """One front end's link to one executor. Its arguments are those of front.links.Link; `connect` is the
     front end's place in the emulation, `port` the number of the executor's post."""
 
-    __slots__ = ("executor", "port", "front_end", "process", "place", "chance", "ears", "backoff", "next_ms",
-                 "wire", "out", "orders", "dialling", "closed")  # fmt: skip
+    __slots__ = (
+        "executor",
+        "port",
+        "front_end",
+        "process",
+        "place",
+        "chance",
+        "listener",
+        "backoff",
+        "next_ms",
+        "wire",
+        "out",
+        "orders",
+        "dialling",
+        "closed",
+    )
 
     def __init__(
         self,
@@ -167,16 +176,16 @@
         clock,
         connect,
         chance: random.Random,
-        ears,
+        listener: LinkListener,
         log,
     ) -> None:
         self.executor, self.port, self.front_end, self.process = executor, port, front_end, process
-        self.place, self.chance, self.ears = connect, chance, ears
+        self.place, self.chance, self.listener = connect, chance, listener
         self.backoff: Backoff | None = None
         self.next_ms = 0.0  # no connect before
         self.wire: Wire | None = None
         self.out: dict[Key, None] = {}
-        self.orders: dict[int, None] = {}
+        self.orders: dict[int, Question] = {}
         self.dialling: dict[Key, None] = {}  # what ends as unreachable when the connect under way does
         self.closed = False
 
@@ -197,14 +206,14 @@
         body: Any,
     ) -> None:
         if self.closed:
-            self._end(key, Outcome.UNSENT)
+            self.report_unanswered(key, Outcome.UNSENT)
             return
         wire = self._connected()
         if wire is None:
             if self.dialling:
                 self.dialling[key] = None
             else:
-                self._end(key, Outcome.UNREACHABLE)
+                self.report_unanswered(key, Outcome.UNREACHABLE)
             return
         self.out[key] = None
         real_ms, io_ms, turn = body
@@ -231,7 +240,7 @@
         wire = self._connected()
         if wire is None:
             return Outcome.UNREACHABLE
-        self.orders[id] = None
+        self.orders[id] = Question.LOAD
         wire.say(wire.life.ordered, wire, id, function, copies, memory_mb, lanes)
         return None
 
@@ -245,7 +254,7 @@
             wire.life.machine.unload(function)
 
     def forget_order(self, id: int) -> bool:
-        return self.orders.pop(id, self) is None
+        return self.orders.pop(id, None) is not None
 
     def moved(self, address: str, port: int) -> None:
         if port != self.port:
@@ -289,7 +298,7 @@
         self._wait()
         for key in dialling:
             if key[0] >= 0:
-                self._end(key, Outcome.UNREACHABLE)
+                self.report_unanswered(key, Outcome.UNREACHABLE)
 
     def _wait(self) -> None:
         if self.backoff is None:
@@ -318,13 +327,13 @@
             del self.out[key]
             if self.backoff is not None:
                 self.backoff.succeeded()
-            self.ears.transmission_ended(
+            self.listener.transmission_ended(
                 self.executor, key, Outcome(outcome), warmth, 0, NO_LOAD, "application/json", b""
             )
 
     def stood(self, id: int, outcome: int, copies: int) -> None:
-        if self.orders.pop(id, self) is None:
-            self.ears.order_answered(self.executor, id, Outcome(outcome), copies)
+        if self.orders.pop(id, None) is not None:
+            self.listener.order_answered(self.executor, id, Outcome(outcome), copies)
 
     def broke(self, wire: Wire) -> None:
         if wire is not self.wire:
@@ -335,9 +344,5 @@
         out, self.out = self.out, {}
         orders, self.orders = self.orders, {}
         for key in out:
-            self._end(key, Outcome.RESET)
-        for id in orders:
-            self.ears.order_answered(self.executor, id, Outcome.RESET, 0)
-
-    def _end(self, key: Key, outcome: Outcome) -> None:
-        self.ears.transmission_ended(self.executor, key, outcome, 0, 0, NO_LOAD, "", b"")
+            self.report_unanswered(key, Outcome.RESET)
+        self.report_reset(orders.items())
--- a/petrelway/front/links.py
+++ b/petrelway/front/links.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Callable
-from typing import Protocol as Shape
 
 from twisted.internet import interfaces, protocol
 from twisted.internet.error import ConnectError
@@ -19,41 +18,16 @@
 from ..wire import codec
 from ..wire.framing import Frames, WireFault
 from .backoff import Backoff
+from .link_base import BUFFER_BYTES, CLOGGED_MS, LinkListener, Question, SocketLinkReports
 from .proof import Key, Ledger
 
 CONNECT_TIMEOUT_MS = 250.0  # a connection that is not up by then counts as unreachable
 WAITING_BOUND = 512  # transmissions that wait at one link for a connection or for room
-BUFFER_BYTES = 1 << 18  # bytes handed to a transport before it asks us to pause
-CLOGGED_MS = 2000.0  # a link that takes no byte for so long is broken off
 GREETING_MS = 2000.0  # an executor that accepts and says nothing for so long is no executor
 RETRY_LEAST_MS, RETRY_MOST_MS = 50.0, 1000.0
 ORDERS_BOUND = 256  # orders to load and probes out at one link
 
 
-class Ears(Shape):
-    """What a link tells its host. Times in ms."""
-
-    def transmission_ended(
-        self,
-        executor: int,
-        key: Key,
-        outcome: Outcome,
-        warmth: int,
-        crowd: int,
-        load: codec.Load,
-        content_type: str,
-        body: bytes,
-    ) -> None: ...
-
-    def left_ms(self, key: Key) -> float:
-        """Of a transmission that waited here: the client's time left, 0 if it must not go out any more."""
-        ...
-
-    def order_answered(self, executor: int, order: int, outcome: Outcome, copies: int) -> None: ...
-
-    def probe_answered(self, executor: int, probe: int, outcome: Outcome, load: codec.Load) -> None: ...
-
-
 @implementer(interfaces.IPushProducer)
 class WorkerProtocol(protocol.Protocol):
     """Bytes of one connection; as a push producer it hears when the transport's buffer is full."""
@@ -94,7 +68,7 @@
         self.paused = True
 
 
-class Link:
+class Link(SocketLinkReports):
     """One executor's link, whatever connections it lives through."""
 
     def __init__(
@@ -108,16 +82,16 @@
         clock: interfaces.IReactorTime,
         connect: Callable,
         chance: random.Random,
-        ears: Ears,
+        listener: LinkListener,
         log,
     ) -> None:
         self.executor, self.stable, self.address, self.port = executor, stable, address, port
         self.front_end, self.process = front_end, process
-        self.clock, self.connect, self.ears, self.log = clock, connect, ears, log
+        self.clock, self.connect, self.listener, self.log = clock, connect, listener, log
         self.backoff = Backoff(chance, RETRY_LEAST_MS, RETRY_MOST_MS)
         self.ledger = Ledger(WAITING_BOUND)
         self.frames: dict[Key, Callable[[float], bytes]] = {}  # of the waiting ones, by the time left in ms
-        self.orders: dict[int, str] = {}  # id -> "order" or "probe", handed over
+        self.orders: dict[int, Question] = {}  # orders to load and probes handed over, by id
         self.wire: WorkerProtocol | None = None
         self.ready = False  # the executor has said who it is
         self.closed = False
@@ -146,23 +120,25 @@
     ) -> None:
         """Hand a transmission to the executor, at once or when there is a connection with room."""
         if self.closed or not self.ledger.wait(key):
-            self.ears.transmission_ended(self.executor, key, Outcome.UNSENT, 0, 0, codec.Load(), "", b"")
+            self.report_unanswered(key, Outcome.UNSENT)
             return
-        if (
-            self.wire is None and self.attempt is None
-        ):  # between two tries: danger: holding it hides the outage
+        if self.wire is None and self.attempt is None:
+            # between two tries: danger: holding it hides the outage
             self.ledger.give_up(key, Outcome.UNSENT)
-            self.ears.transmission_ended(self.executor, key, Outcome.UNREACHABLE, 0, 0, codec.Load(), "", b"")
+            self.report_unanswered(key, Outcome.UNREACHABLE)
             return
         self.frames[key] = lambda left_ms: codec.send(
             *key, mark, function, memory_mb, lanes, tariff, customer, left_ms, work_ms, content_type, body
         )
-        if self.wire is not None and self.ready and not self.wire.paused and len(self.frames) == 1:
-            self._hand_over(self.wire, remaining_ms)
+        if len(self.frames) == 1 and self._writable():
+            self._hand_over(remaining_ms)
+
+    def _writable(self) -> bool:
+        return self.wire is not None and self.ready and not self.wire.paused
 
-    def _hand_over(self, wire: WorkerProtocol, left_ms: float) -> None:
+    def _hand_over(self, left_ms: float) -> None:
         """The one that has waited longest."""
-        wire.transport.write(self.frames.pop(self.ledger.hand_over())(left_ms))
+        self.wire.transport.write(self.frames.pop(self.ledger.hand_over())(left_ms))
 
     def withdraw(self, key: Key, outcome: Outcome = Outcome.WITHDRAWN) -> Outcome | None:
         """Nobody waits any more: what it ended as, or None if it is not out here."""
@@ -177,23 +153,23 @@
 
     def order(self, id: int, function: str, copies: int, memory_mb: float, lanes: int) -> Outcome | None:
         """An order to load; an outcome if it could not be handed over."""
-        return self._ask(id, "order", codec.order(id, function, copies, memory_mb, lanes))
+        return self._ask(id, Question.LOAD, codec.order(id, function, copies, memory_mb, lanes))
 
     def probe(self, id: int) -> Outcome | None:
         """A probe; an outcome if it could not be handed over."""
-        return self._ask(id, "probe", codec.probe(id))
+        return self._ask(id, Question.PROBE, codec.probe(id))
 
-    def _ask(self, id: int, what: str, frame: bytes) -> Outcome | None:
+    def _ask(self, id: int, question: Question, frame: bytes) -> Outcome | None:
         if self.wire is None or not self.ready:
             return Outcome.UNREACHABLE
         if self.wire.paused or len(self.orders) >= ORDERS_BOUND:
             return Outcome.UNSENT
-        self.orders[id] = what
+        self.orders[id] = question
         self.wire.transport.write(frame)
         return None
 
     def unload(self, function: str) -> None:
-        if self.wire is not None and self.ready and not self.wire.paused:
+        if self._writable():
             self.wire.transport.write(codec.unload(function))
 
     def forget_order(self, id: int) -> bool:
@@ -247,7 +223,9 @@
             return
         self.wire, self.ready, self.reason = wire, False, ""
         wire.transport.write(codec.greeting(self.front_end, self.process))
-        self.timer = self.clock.callLater(GREETING_MS / 1e3, self._silent)
+        self.timer = self.clock.callLater(
+            GREETING_MS / 1e3, self._timed_out, f"no welcome within {GREETING_MS:g} ms"
+        )
 
     def welcomed(self, executor: str, process: str, machine: str, started_ms: float) -> None:
         if executor != self.stable:  # danger: a port used anew by another executor must not be trusted
@@ -257,9 +235,7 @@
         self._stop_timer()
         self.ready, self.started_ms = True, started_ms
         self.backoff.succeeded()
-        if self.said_down:
-            self.log.info("link up", executor=self.stable)
-            self.said_down = False
+        self.log_up()
         if self.wire is not None and self.wire.paused:
             self.clogged()
         self._drain()
@@ -276,17 +252,17 @@
         body: bytes,
     ) -> None:
         if self.ledger.ended((serial, number)):
-            self.ears.transmission_ended(
+            self.listener.transmission_ended(
                 self.executor, (serial, number), Outcome(outcome), warmth, crowd, load, content_type, body
             )
 
     def stood(self, id: int, outcome: int, copies: int) -> None:
-        if self.orders.pop(id, None) == "order":
-            self.ears.order_answered(self.executor, id, Outcome(outcome), copies)
+        if self.orders.pop(id, None) is Question.LOAD:
+            self.listener.order_answered(self.executor, id, Outcome(outcome), copies)
 
     def probed(self, id: int, load: codec.Load) -> None:
-        if self.orders.pop(id, None) == "probe":
-            self.ears.probe_answered(self.executor, id, Outcome.FULFILLED, load)
+        if self.orders.pop(id, None) is Question.PROBE:
+            self.listener.probe_answered(self.executor, id, Outcome.FULFILLED, load)
 
     def faulted(self, reason: str) -> None:
         self.reason = reason
@@ -301,54 +277,35 @@
 
     def clogged(self) -> None:
         if self.ready and self.timer is None:
-            self.timer = self.clock.callLater(CLOGGED_MS / 1e3, self._stuck)
+            self.timer = self.clock.callLater(
+                CLOGGED_MS / 1e3, self._timed_out, f"took no byte for {CLOGGED_MS:g} ms"
+            )
 
     def cleared(self) -> None:
         if self.ready:
             self._stop_timer()
         self._drain()
 
-    def _silent(self) -> None:
-        self.timer, self.reason = None, f"no welcome within {GREETING_MS:g} ms"
-        if self.wire is not None:
-            self.wire.transport.abortConnection()
-
-    def _stuck(self) -> None:
-        self.timer, self.reason = None, f"took no byte for {CLOGGED_MS:g} ms"
+    def _timed_out(self, reason: str) -> None:
+        self.timer = None
+        self.reason = reason
         if self.wire is not None:
             self.wire.transport.abortConnection()
 
     def _drain(self) -> None:
-        """What has waited goes out if it still may. Danger: meanwhile the client may have left, its time be
-        over, the executor drain, a mark against repeats have run out, a cold one's budget be used."""
-        wire = self.wire
-        while self.frames and wire is not None and self.ready and not wire.paused:
-            key = next(iter(self.frames))
-            if (left_ms := self.ears.left_ms(key)) > 0.0:
-                self._hand_over(wire, left_ms)
-            else:
-                self.withdraw(key)  # no byte of it left
-                self.ears.transmission_ended(self.executor, key, Outcome.UNSENT, 0, 0, codec.Load(), "", b"")
+        self.drain(self.frames, self._writable, self._hand_over)
 
     def _down(self, reason: str) -> None:
-        if not self.said_down:  # one line for one outage, not one for each try
-            self.log.warning(
-                "link down", executor=self.stable, address=self.address, port=self.port, reason=reason
-            )
-            self.said_down = True
+        self.log_down(reason)
         self._end_all()
         self.timer = self.clock.callLater(self.backoff.failed() / 1e3, self._dial)
 
     def _end_all(self) -> None:
         self.frames.clear()
         for key, outcome in self.ledger.broke():
-            self.ears.transmission_ended(self.executor, key, outcome, 0, 0, codec.Load(), "", b"")
+            self.report_unanswered(key, outcome)
         orders, self.orders = self.orders, {}
-        for id, what in orders.items():
-            if what == "order":
-                self.ears.order_answered(self.executor, id, Outcome.RESET, 0)
-            else:
-                self.ears.probe_answered(self.executor, id, Outcome.RESET, codec.Load())
+        self.report_reset(orders.items())
 
     def _stop_timer(self) -> None:
         if self.timer is not None:
--- a/petrelway/node/links.py
+++ b/petrelway/node/links.py
@@ -17,23 +17,20 @@
 from twisted.python.failure import Failure
 
 from ..front.backoff import Backoff
+from ..front.link_base import BUFFER_BYTES, CLOGGED_MS, NO_LOAD, LinkListener, Question, SocketLinkReports
 from ..front.proof import Key, Ledger
 from ..interface import Outcome, Warmth
 from ..platform import frames
 from ..platform.faults import PlatformFault
 from ..platform.passed import Passed
-from ..wire.codec import Load
 
 SWEEP_MS = 250.0  # connections are looked over this often
 HALF_MS = 300.0  # an answer that has begun and not ended for so long ends its connection
 SILENT_MS = 250.0  # waited for in vain for so long with no byte heard: the connection is not trusted
-CLOGGED_MS = 2000.0  # a connection that takes no byte for so long is broken off
-BUFFER_BYTES = 1 << 18  # bytes handed to a transport before it asks us to pause
 GIVEN_UP_BOUND = 64  # ids given up on one connection; past it the connection takes nothing new
 SPARE_IDLE_MS = 10_000.0  # a connection not used for so long is closed, but for one ...
 IDLE_SHARE = 0.7  # ... which stays for this share of the platform's idle time
 RETRY_LEAST_MS, RETRY_MOST_MS = 30.0, 1000.0
-NOTHING = Load()
 
 
 class Room:
@@ -56,7 +53,7 @@
         self.frames = frames.Frames(self)
         self.waiting: dict[Key, Passed] = {}  # not handed over
         self.open: dict[bytes, Key] = {}  # ids of what is out here
-        self.asked: dict[bytes, tuple[str, int]] = {}  # orders and probes out here
+        self.asked: dict[bytes, tuple[int, Question]] = {}  # out here, by the id on the wire
         self.given_up: dict[bytes, None] = {}  # ids that must not be used here again
         self.up = self.paused = self.spent = self.lost = False  # spent: takes nothing new
         self.looked = False  # found clogged once
@@ -130,16 +127,16 @@
         if (key := self.open.get(id)) is not None and self.ledger.ended(key):
             del self.open[id], link.where[key]
             self.used_ms = self.heard_ms
-            link.ears.transmission_ended(link.executor, key, outcome, warmth, crowd, NOTHING, "", body)
-        elif (asked := self.asked.pop(id, None)) is not None and asked[0] == "order":
-            link.ears.order_answered(link.executor, asked[1], outcome, copies)
+            link.listener.transmission_ended(link.executor, key, outcome, warmth, crowd, NO_LOAD, "", body)
+        elif (asked := self.asked.pop(id, None)) is not None and asked[1] is Question.LOAD:
+            link.listener.order_answered(link.executor, asked[0], outcome, copies)
         else:  # danger: a late word on one transmission must never end another
             link.room.counts["late answers" if id in self.given_up else "answers to no question"] += 1
 
     def probed(self, id: bytes, well: bool) -> None:
         if (asked := self.asked.pop(id, None)) is not None:
             outcome = Outcome.FULFILLED if well else Outcome.ERROR
-            self.link.ears.probe_answered(self.link.executor, asked[1], outcome, NOTHING)
+            self.link.listener.probe_answered(self.link.executor, asked[0], outcome, NO_LOAD)
 
     # -- the link's side
 
@@ -173,20 +170,16 @@
             self.link.drop(self, "")
 
     def drain(self) -> None:
-        """What has waited goes out if it still may. Danger: meanwhile the client may have left, its time be
-        over, the executor drain, a mark against repeats have run out, a cold one's budget be used."""
-        ears = self.link.ears
-        while self.waiting and self.up and not self.paused and not self.lost:
-            key = next(iter(self.waiting))
-            if (remaining_ms := ears.left_ms(key)) > 0.0:
-                self._hand_over(remaining_ms)
-            else:
-                self.link.room.counts["waited in vain"] += 1
-                self.link.withdraw(key)  # no byte of it left: UNSENT
-                ears.transmission_ended(self.link.executor, key, Outcome.UNSENT, 0, 0, NOTHING, "", b"")
+        """What has waited goes out if it still may."""
+        expired = self.link.drain(self.waiting, self._writable, self._hand_over)
+        if expired:
+            self.link.room.counts["waited in vain"] += expired
+
+    def _writable(self) -> bool:
+        return self.up and not self.paused and not self.lost
 
 
-class PlatformLink:
+class PlatformLink(SocketLinkReports):
     """One executor's link. Takes the arguments of front.links.Link, then its own."""
 
     def __init__(
@@ -200,7 +193,7 @@
         clock: interfaces.IReactorTime,
         connect: Callable,
         chance: random.Random,
-        ears,
+        listener: LinkListener,
         log,
         room: Room,
         streams: int,
@@ -210,7 +203,8 @@
     ) -> None:
         """`withdraws`: whether the deployment lets a transmission be given up."""
         self.executor, self.stable, self.address, self.port = executor, stable, address, port
-        self.clock, self.connect, self.chance, self.ears, self.log = clock, connect, chance, ears, log
+        self.clock, self.connect, self.chance = clock, connect, chance
+        self.listener, self.log = listener, log
         self.room, self.streams, self.connect_ms, self.withdraws = room, streams, connect_ms, withdraws
         self.idle_ms = IDLE_SHARE * idle_ms or math.inf
         self.backoff = Backoff(chance, RETRY_LEAST_MS, RETRY_MOST_MS)
@@ -246,7 +240,7 @@
             # between two tries: danger: holding it hides the outage
             down = not any(w.up and not w.spent for w in self.wires)
             outcome = Outcome.UNREACHABLE if down and not self.closed else Outcome.UNSENT
-            self.ears.transmission_ended(self.executor, key, outcome, 0, 0, NOTHING, "", b"")
+            self.report_unanswered(key, outcome)
             return
         self.where[key] = wire, id, self.now()
         wire.take(key, id, body, remaining_ms)
@@ -297,20 +291,20 @@
 
     def order(self, id: int, function: str, copies: int, memory_mb: float, lanes: int) -> Outcome | None:
         """An order to load; an outcome if it could not be handed over."""
-        return self._ask(id, "order", lambda own: frames.order(own, function, copies))
+        return self._ask(id, Question.LOAD, lambda own: frames.order(own, function, copies))
 
     def probe(self, id: int) -> Outcome | None:
         """A probe; an outcome if it could not be handed over."""
-        return self._ask(id, "probe", frames.probe)
+        return self._ask(id, Question.PROBE, frames.probe)
 
-    def _ask(self, id: int, what: str, frame: Callable[[bytes], bytes]) -> Outcome | None:
+    def _ask(self, id: int, question: Question, frame: Callable[[bytes], bytes]) -> Outcome | None:
         wire = self._ready()
         if wire is None:
             return Outcome.UNSENT if any(w.up for w in self.wires) else Outcome.UNREACHABLE
         own = self.chance.randbytes(8)
         while any(w.knows(own) for w in self.wires):
             own = self.chance.randbytes(8)
-        wire.asked[own] = what, id
+        wire.asked[own] = id, question
         wire.transport.write(frame(own))
         return None
 
@@ -328,7 +322,7 @@
     def forget_order(self, id: int) -> bool:
         """Its time is up; False if it has ended."""
         for wire in self.wires:
-            for own, (_, asked) in wire.asked.items():
+            for own, (asked, _) in wire.asked.items():
                 if asked == id:
                     del wire.asked[own]
                     wire.give_up(own)
@@ -392,11 +386,8 @@
         if fresh:  # danger: one that accepts and resets would be dialled without end
             self.not_before_ms = self.now() + self.backoff.failed()
         alone = not any(w.up for w in self.wires if w is not wire)
-        if fresh and alone and not self.closed and not self.said_down:
-            self.log.warning(
-                "link down", executor=self.stable, address=self.address, port=self.port, reason=reason
-            )
-            self.said_down = True
+        if fresh and alone and not self.closed:
+            self.log_down(reason)
         self.drop(wire, reason)
 
     def drop(self, wire: Wire, reason: str) -> None:
@@ -421,12 +412,8 @@
         wire.asked.clear()
         for key, outcome in ends:
             self.where.pop(key, None)
-            self.ears.transmission_ended(self.executor, key, outcome, 0, 0, NOTHING, "", b"")
-        for what, id in asked:
-            if what == "order":
-                self.ears.order_answered(self.executor, id, Outcome.RESET, 0)
-            else:
-                self.ears.probe_answered(self.executor, id, Outcome.RESET, NOTHING)
+            self.report_unanswered(key, outcome)
+        self.report_reset(asked)
 
     def _sweep(self) -> None:
         """Close what is idle or clogged; keep one connection ready."""
@@ -447,5 +434,4 @@
             self._dial()
         if self.said_down and any(w.up and now - w.up_ms >= SWEEP_MS for w in self.wires):
             # not before: one that accepts and resets would say so without end
-            self.log.info("link up", executor=self.stable)
-            self.said_down = False
+            self.log_up()
