--- a/benchmarks/capacity_front_end.py
+++ b/benchmarks/capacity_front_end.py
@@ -11,10 +11,14 @@
 
 from __future__ import annotations
 
+from capacity_front_end_calls import measure_calls
 from capacity_front_end_fleet import measure_fleet
+from capacity_front_end_functions import measure_functions
 
 from petrelway.capacity.slopes import Slope
+from petrelway.front.collecting import settle
 
 
 def measure(quick: bool) -> list[Slope]:
-    return [*measure_fleet(quick)]
+    settle()  # the garbage collector as the serving process has it
+    return [*measure_fleet(quick), *measure_functions(quick), *measure_calls(quick)]
--- a/benchmarks/capacity_front_end_fleet.py
+++ b/benchmarks/capacity_front_end_fleet.py
@@ -9,6 +9,8 @@
 import random
 import statistics
 import tracemalloc
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from capacity_front_end_rig import (
@@ -64,8 +66,8 @@
     ]
 
 
-def points(sizes: list[int], measure) -> list[tuple[float, float]]:
-    return [(size, median_cpu_us(lambda: measure(size))) for size in sizes]  # noqa: B023, called at once
+def points(sizes: list[int], measure: Callable[[int], float]) -> list[tuple[float, float]]:
+    return [(size, median_cpu_us(partial(measure, size))) for size in sizes]
 
 
 def slope(quantity: str, unit: str, found: list[tuple[float, float]], note: str) -> Slope:
--- a/benchmarks/capacity_front_end_rig.py
+++ b/benchmarks/capacity_front_end_rig.py
@@ -25,6 +25,7 @@
     Outcome,
     Permits,
     Place,
+    Released,
     Scope,
     Stage,
     Tariff,
@@ -91,22 +92,24 @@
     """A front end with so many executors listed, driven by hand."""
 
     def __init__(self, executors: int = 0) -> None:
+        gc.collect()  # danger: earlier rigs are cycles; the server's thresholds let gigabytes of them stand
         self.now_ms = START_MS
         self.wake_ms = math.inf
         self.requests = 0
+        self.released = Released([], [], [])  # by the last turn
         self.front_end = new_front_end()
         if executors:
             self.take_list(listings(executors), True)
 
     def turn(self) -> list[Decision]:
-        """What the module decides now; the wake that it asks for is kept, what it releases is let go."""
+        """What the module decides now; the wake that it asks for and what it releases are kept."""
         decisions = []
         while (decision := self.front_end.decide(self.now_ms)) is not None:
             if decision.verb is Verb.WAKE:
                 self.wake_ms = decision.ms
             else:
                 decisions.append(decision)
-        self.front_end.released()
+        self.released = self.front_end.released()
         return decisions
 
     def take_list(self, lines: list[Listing], complete: bool) -> None:
