--- a/benchmarks/capacity_front_end_calls.py
+++ b/benchmarks/capacity_front_end_calls.py
@@ -55,7 +55,8 @@
 
 def measure_calls(quick: bool) -> list[Slope]:
     rates = QUICK_CALLS_A_SECOND if quick else CALLS_A_SECOND
-    runs = {rate: [(spent(rate, True), spent(rate, False)) for _ in range(REPEATS)] for rate in rates}
+    rounds = [{rate: (spent(rate, True), spent(rate, False)) for rate in rates} for _ in range(REPEATS)]
+    runs = {rate: [found[rate] for found in rounds] for rate in rates}
     control = [(rate, statistics.median(full.control for full, _ in runs[rate])) for rate in rates]
     calls = [(rate, statistics.median(bare.calls for _, bare in runs[rate])) for rate in rates]
     checks = []
--- a/benchmarks/capacity_front_end_fleet.py
+++ b/benchmarks/capacity_front_end_fleet.py
@@ -9,8 +9,6 @@
 import random
 import statistics
 import tracemalloc
-from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 
 from capacity_front_end_rig import (
@@ -19,7 +17,7 @@
     FrontEndRig,
     cpu_us,
     listings,
-    median_cpu_us,
+    median_points,
     new_front_end,
     traced_bytes,
 )
@@ -54,22 +52,25 @@
             [(size, host_bytes(size)) for size in sizes],
             "tracemalloc, host and connected links beside the module; sockets and their transports left out",
         ),
-        slope("whole_list_cpu", "us", points(sizes, whole_list_us), "every executor new to the front end"),
-        slope("whole_list_again_cpu", "us", points(sizes, same_list_us), "every executor listed as before"),
+        slope(
+            "whole_list_cpu", "us", median_points(sizes, whole_list_us), "every executor new to the front end"
+        ),
+        slope(
+            "whole_list_again_cpu",
+            "us",
+            median_points(sizes, same_list_us),
+            "every executor listed as before",
+        ),
         slope(
             "list_change_cpu",
             "us",
-            points(sizes, list_change_us),
+            median_points(sizes, list_change_us),
             "one executor drains or is ready again; no function known",
         ),
-        slope("tidy_cpu", "us/s", points(sizes, tidy_us), "no function known; one tidying a second"),
+        slope("tidy_cpu", "us/s", median_points(sizes, tidy_us), "no function known; one tidying a second"),
     ]
 
 
-def points(sizes: list[int], measure: Callable[[int], float]) -> list[tuple[float, float]]:
-    return [(size, median_cpu_us(partial(measure, size))) for size in sizes]
-
-
 def slope(quantity: str, unit: str, found: list[tuple[float, float]], note: str) -> Slope:
     name = f"front_end.{quantity}_by_executors"
     return fit(name, unit, DIMENSION, Evidence.MEASURED, found, {"zones": ZONES}, note)
--- a/benchmarks/capacity_front_end_functions.py
+++ b/benchmarks/capacity_front_end_functions.py
@@ -4,9 +4,8 @@
 
 import statistics
 import tracemalloc
-from functools import partial
 
-from capacity_front_end_rig import QUIET_MS, FrontEndRig, cpu_us, median_cpu_us, traced_bytes
+from capacity_front_end_rig import QUIET_MS, FrontEndRig, cpu_us, median_points, traced_bytes
 
 from petrelway.capacity.slopes import Evidence, Slope, fit
 from petrelway.interface import Stage
@@ -48,7 +47,7 @@
         by_functions(
             "list_change_cpu",
             "us",
-            [(size, list_change_us(size)) for size in named],
+            median_points(named, list_change_us),
             "one executor drains or is ready again; functions named, no request held",
         ),
         by_executors(
@@ -61,19 +60,19 @@
         by_executors(
             "first_call",
             "us",
-            [(size, median_cpu_us(partial(first_call_us, size))) for size in fleets],
+            median_points(fleets, first_call_us),
             "taking, choosing, sending; the function was named before",
         ),
         by_executors(
             "next_call",
             "us",
-            [(size, median_cpu_us(partial(next_call_us, size))) for size in fleets],
+            median_points(fleets, next_call_us),
             "the second call of the same function, beside first_call_by_executors",
         ),
         by_executors(
             "ranking_change_cpu",
             "us",
-            [(size, median_cpu_us(partial(ranking_change_us, size))) for size in fleets],
+            median_points(fleets, ranking_change_us),
             "what one change of the list adds to the next call of one function whose executors are ranked",
         ),
         fit(
@@ -81,7 +80,7 @@
             "us/s",
             "function first seen a second",
             Evidence.MEASURED,
-            [(rate, median_cpu_us(partial(new_functions_us, rate))) for rate in new],
+            median_points(new, new_functions_us),
             {"executors": EXECUTORS},
             "naming, and what a first call takes beyond a second one; tidying and forgetting left out",
         ),
--- a/benchmarks/capacity_front_end_rig.py
+++ b/benchmarks/capacity_front_end_rig.py
@@ -11,7 +11,7 @@
 import statistics
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from petrelway.choice import FrontEnd
 from petrelway.interface import (
@@ -77,9 +77,11 @@
     return (time.process_time_ns() - began) / 1e3
 
 
-def median_cpu_us(measure: Callable[[], float]) -> float:
-    """The median of REPEATS measurements: the machine is shared."""
-    return statistics.median(measure() for _ in range(REPEATS))
+def median_points(sizes: Sequence[float], measure: Callable[..., float]) -> list[tuple[float, float]]:
+    """For each size the median of REPEATS measurements. All sizes are measured in turn, so that a time in
+    which others load the machine falls on all of them."""
+    rounds = [[measure(size) for size in sizes] for _ in range(REPEATS)]
+    return [(size, statistics.median(found)) for size, *found in zip(sizes, *rounds)]
 
 
 def traced_bytes() -> int:
