A change parses the present policy once, not for each silent member at each answer

Cause: the slopes by changes bent: 57.7 us x the square of the members of CPU at the leader, 20.7 s at 600 (emulated network). A profile of one change at 300 members had 45,450 parses of the same document in it, all by way of _through and _stops in policy/changes.py, which ask document.stops for each silent member at each answer. Change: document.stops keeps its answers for the few documents that a process asks about.

--- a/petrelway/policy/document.py
+++ b/petrelway/policy/document.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Mapping
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Any, Literal, NamedTuple
 
@@ -13,6 +14,7 @@
 from ..settings.reading import Fault, SettingsFault, evaluate, sections
 
 TERMS = ("tariffs", "customers", "permits", "functions")
+READ_DOCUMENTS_KEPT = 4  # answers kept of `stops`: a process asks about the present document and the next one
 
 
 class Adoption(Strict):
@@ -34,9 +36,13 @@
     return blake2b(document.encode(), digest_size=8).hexdigest()
 
 
+@lru_cache(maxsize=READ_DOCUMENTS_KEPT)
 def stops(document: str) -> bool:
     """Whether a front end under this document stops when it has heard nothing for long.
 
+    A leader asks for each silent member at each answer: parsed each time, a change would cost it the square
+    of the members.
+
     >>> stops('{"adoption":{"silent":"stop"}}'), stops("{}")
     (True, False)
     """
--- a/tests/test_scale_changes.py
+++ b/tests/test_scale_changes.py
@@ -1,10 +1,14 @@
 """What a change of policy costs by the number of members, by counts: an ordinary member's share does not
 grow, and the leader's grows no steeper than the measured slope. Two sizes, a factor of 8 apart."""
 
+import json
+from types import SimpleNamespace
+
 import pytest
 
 from petrelway.capacity.slopes import read_slopes
 from petrelway.emulator.policy_traffic import REST_S, ObservedCouncil
+from petrelway.policy import document
 
 SMALL, LARGE = 9, 72
 STEEPER = 1.6  # times the measured slope that may be seen; twice as steep is found
@@ -100,3 +104,30 @@
     assert change.states == ("adopted",)
     assert steeper > allowed("leader_messages")
     assert growth(small.change.leader.bytes_sent, change.leader.bytes_sent) > allowed("leader_bytes")
+
+
+def parses_of_one_change(size, monkeypatch):
+    """How often any member of such a fleet parses a policy to ask whether silent members stop."""
+    parsed = []
+
+    def counted(text):
+        parsed.append(text)
+        return json.loads(text)
+
+    document.stops.cache_clear()
+    council = ObservedCouncil(size)
+    council.begin()
+    council.request_changes(1)
+    council.run_for(REST_S)
+    monkeypatch.setattr(document, "json", SimpleNamespace(loads=counted, dumps=json.dumps))
+    change = council.request_changes(1)
+    assert change.states == ("adopted",)
+    return len(parsed)
+
+
+def test_a_change_parses_the_policy_no_more_often_in_a_larger_fleet(monkeypatch):
+    """Danger: parsed for each silent member at each answer, a change cost the leader the members' square."""
+    small_parses = parses_of_one_change(SMALL, monkeypatch)
+    monkeypatch.undo()
+    assert 1 <= small_parses <= document.READ_DOCUMENTS_KEPT
+    assert parses_of_one_change(LARGE, monkeypatch) <= small_parses
