A hash ring of executors, and a function's ranked window on it

Cause: a function's order of all ready executors takes 8 B for each of them and a sort of the fleet at its first call.

--- /dev/null
+++ b/tests/test_ranking.py
@@ -0,0 +1,337 @@
+"""The ranking window on the hash ring: against a plain model, whatever came and went, and its costs."""
+
+import random
+from contextlib import contextmanager
+from hashlib import blake2b
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from petrelway import ranking
+from petrelway.hash_ring import CHANGES_KEPT, HASH_MASK, HashRing
+from petrelway.ranking import WINDOW, RankedExecutors, ring_point, shared_rank
+
+
+class Member:
+    """An executor as the ring sees it."""
+
+    def __init__(self, stable, salt=None):
+        self.stable = stable
+        self.salt = hash_of(stable) if salt is None else salt
+
+    def __repr__(self):
+        return f"{self.stable}@{self.salt:x}"
+
+
+def hash_of(name):
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def ring_of(members):
+    ring = HashRing()
+    for member in members:
+        ring.add(member)
+    return ring
+
+
+def executors(count, prefix="executor"):
+    return [Member(f"{prefix}-{number}") for number in range(count)]
+
+
+def model(function_salt, members, window):
+    """The order by its definition: all members round the ring from the point, ranked chunk by chunk."""
+    ring = sorted(members, key=lambda member: (member.salt, member.stable))
+    point = ring_point(function_salt)
+    begin = sum(member.salt < point for member in ring)
+    around = ring[begin:] + ring[:begin]
+    order = []
+    for offset in range(0, len(around), window):
+        chunk = around[offset : offset + window]
+        order += sorted(chunk, key=lambda member: -shared_rank(function_salt, member.salt))
+    return order
+
+
+@contextmanager
+def window_of(size):
+    """Rankings that are made inside have another window."""
+    usual, ranking.WINDOW = ranking.WINDOW, size
+    try:
+        yield
+    finally:
+        ranking.WINDOW = usual
+
+
+@contextmanager
+def counted_ranks():
+    """How many ranks are computed inside."""
+    usual, counts = ranking.shared_rank, {"ranks": 0}
+
+    def counting(function_salt, executor_salt):
+        counts["ranks"] += 1
+        return usual(function_salt, executor_salt)
+
+    ranking.shared_rank = counting
+    try:
+        yield counts
+    finally:
+        ranking.shared_rank = usual
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 120, WINDOW, WINDOW + 1, 3 * WINDOW, 5 * WINDOW + 7])
+def test_order_is_that_of_the_model(count):
+    members = executors(count)
+    ring = ring_of(members)
+    for number in range(20):
+        salt = hash_of(f"function-{number}")
+        order = model(salt, members, WINDOW)
+        ranked = RankedExecutors(salt, ring)
+        assert list(ranked) == order
+        for some in (0, 1, 3, WINDOW, WINDOW + 1, 2 * WINDOW + 1, count, count + 5):
+            assert ranked.first(some) == order[:some]
+        assert list(ranked) == order  # also with the tail held
+
+
+def test_small_fleets_are_sorted_as_a_whole():
+    """At most WINDOW executors: the order is that of a full sort by the shared rank."""
+    for count in (1, 25, 100, WINDOW):
+        members = executors(count)
+        ring = ring_of(members)
+        for number in range(50):
+            salt = hash_of(f"function-{number}")
+            by_rank = sorted(members, key=lambda member: -shared_rank(salt, member.salt))
+            assert list(RankedExecutors(salt, ring)) == by_rank
+
+
+def test_point_says_nothing_of_the_ranks():
+    """Danger: were a window to begin at the function's salt, near salts would rank alike in all windows."""
+    ring = ring_of(executors(8 * WINDOW))
+    positions = []
+    for number in range(400):
+        salt = hash_of(f"function-{number}")
+        start = ring.index_after(ring_point(salt))
+        first = RankedExecutors(salt, ring).first(1)[0]
+        positions.append(next(i for i in range(WINDOW) if ring.at(start + i) is first))
+    quarters = [sum(WINDOW * q <= 4 * p < WINDOW * (q + 1) for p in positions) for q in range(4)]
+    assert all(60 <= n <= 140 for n in quarters), quarters  # 100 each, four deviations of 8.7 and some
+
+
+def test_ring_refuses_what_is_there_already_and_what_is_not():
+    one, other = Member("one"), Member("other")
+    ring = ring_of([one])
+    with pytest.raises(ValueError, match="one is on the ring"):
+        ring.add(one)
+    with pytest.raises(ValueError, match="other is not on the ring"):
+        ring.remove(other)
+    assert ring.members == [one] and one in ring and other not in ring and ring.version == 1
+
+
+def test_changes_are_kept_up_to_their_bound():
+    ring, members = HashRing(), executors(1000)
+    for number, member in enumerate(members, 1):
+        ring.add(member)
+        for back in (0, 1, CHANGES_KEPT // 2 - 1):
+            if back <= number:
+                assert ring.changed_since(number - back) == members[number - back : number]
+        assert len(ring._recent) <= CHANGES_KEPT
+    assert ring.changed_since(-1) is None and ring.changed_since(1000 - CHANGES_KEPT - 1) is None
+
+
+SALTS = st.one_of(  # close ones, equal ones, both ends of the ring, any
+    st.integers(0, 7), st.integers(HASH_MASK - 3, HASH_MASK), st.integers(0, HASH_MASK)
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    salts=st.lists(SALTS, min_size=1, max_size=40),
+    functions=st.lists(SALTS, min_size=1, max_size=4),
+    window=st.integers(1, 24),
+    steps=st.lists(st.tuples(st.integers(0, 39), st.integers(0, 4), st.integers(0, 41)), max_size=60),
+)
+def test_incremental_equals_fresh(salts, functions, window, steps):
+    """Whatever came and went, and whenever the window was looked at: the order is that of the list alone."""
+    members = [Member(f"e{number:02}", salt) for number, salt in enumerate(salts)]
+    ring = HashRing()
+    with window_of(window):
+        ranked = [RankedExecutors(salt, ring) for salt in functions]
+        for who, looked, count in steps:
+            member = members[who % len(members)]
+            (ring.remove if member in ring else ring.add)(member)
+            if looked < len(functions):
+                order = model(functions[looked], ring.members, window)
+                assert ranked[looked].first(count) == order[:count]
+                assert list(ranked[looked]) == order
+        for salt, one in zip(functions, ranked):
+            assert list(one) == model(salt, ring.members, window)
+            assert list(RankedExecutors(salt, ring_of(ring.members))) == list(one)
+
+
+def near_points(members, salts, each):
+    """Members on the points of some functions: what comes and goes touches their windows."""
+    chosen = []
+    for salt in salts:
+        begin = ring_point(salt)
+        chosen += sorted(members, key=lambda member: (member.salt - begin) & HASH_MASK)[:each]
+    return chosen
+
+
+@pytest.mark.parametrize("count", [WINDOW - 5, WINDOW + 5, 6 * WINDOW])
+def test_two_front_ends_agree_in_whatever_order_they_heard(count):
+    """The same list after other histories: rings filled in other orders, with drops and returns between."""
+    chance = random.Random(count)
+    members = executors(count)
+    salts = [hash_of(f"function-{number}") for number in range(30)]
+    churned = near_points(members, salts[:10], 3) + members[:20]
+    rings, ranked = [], []
+    for _ in range(3):
+        ring = ring_of(chance.sample(members, count))
+        rings.append(ring)
+        ranked.append([RankedExecutors(salt, ring) for salt in salts])
+        for one in ranked[-1]:
+            one.first(1)
+        for _ in range(60):
+            member = chance.choice(churned)
+            (ring.remove if member in ring else ring.add)(member)
+            chance.choice(ranked[-1]).first(chance.choice((1, 5, WINDOW + 3)))
+        for member in members:
+            if member not in ring:
+                ring.add(member)
+    orders = [[list(one) for one in some] for some in ranked]
+    assert orders[0] == orders[1] == orders[2]
+
+
+def test_equal_salts_stand_in_the_order_of_stable_names():
+    """Two names with one hash: the order still does not hang on who came first."""
+    members = [Member(f"twin-{number}", salt=99) for number in range(6)] + executors(10)
+    for seed in range(20):
+        ring = HashRing()
+        chance = random.Random(seed)
+        with window_of(chance.randint(1, 20)):
+            ranked = RankedExecutors(hash_of("function"), ring)
+            for member in chance.sample(members, len(members)):
+                ring.add(member)
+                ranked.first(1)
+            twins = [member.stable for member in ranked if member.salt == 99]
+        assert sorted(twins) == [member.stable for member in ring.members if member.salt == 99]
+        fresh = RankedExecutors(hash_of("function"), ring_of(reversed(members)))
+        assert list(fresh) == list(RankedExecutors(hash_of("function"), ring))
+
+
+@pytest.mark.parametrize("growing", [True, False])
+def test_no_event_at_the_threshold(growing):
+    """One executor past WINDOW changes the first home of no more functions than one below it does."""
+    functions = [hash_of(f"function-{number}") for number in range(2000)]
+    members = executors(WINDOW + 4)
+    counts = range(WINDOW - 4, WINDOW + 5)
+    homes = {}
+    for count in counts if growing else reversed(counts):
+        ring = ring_of(members[:count])
+        homes[count] = [RankedExecutors(salt, ring).first(1)[0] for salt in functions]
+    for count in list(counts)[1:]:
+        moved = sum(a is not b for a, b in zip(homes[count - 1], homes[count]))
+        # one more takes the share 1/count; past WINDOW one other leaves a window, with its share
+        assert 0 < moved <= 4 * 2000 / WINDOW, (count, moved)
+
+
+def test_one_that_goes_touches_few_functions_and_spreads_over_many():
+    """Of 16 windows' executors one goes: about WINDOW / E of the windows had it. Its functions move to many
+    others, not to the next on the ring; of the rest move those that the window's newcomer ranks first for."""
+    size = 16 * WINDOW
+    members = executors(size)
+    ring = ring_of(members)
+    functions = [hash_of(f"function-{number}") for number in range(20_000)]
+    ranked = [RankedExecutors(salt, ring) for salt in functions]
+    before = [one.first(WINDOW) for one in ranked]
+    load = {}
+    for order in before:
+        load[order[0]] = load.get(order[0], 0) + 1
+    victim = max(load, key=load.get)
+    ring.remove(victim)
+    after = [one.first(WINDOW) for one in ranked]
+    touched = sum(a != b for a, b in zip(before, after))
+    assert 0.5 * len(functions) * WINDOW / size < touched < 2 * len(functions) * WINDOW / size
+    moved = [(a, b) for a, b in zip(before, after) if a[0] is not b[0]]
+    heirs = [new[0] for old, new in moved if old[0] is victim]
+    assert len(heirs) == load[victim]
+    assert len(set(heirs)) > 0.7 * len(heirs)
+    for old, new in moved:
+        newcomer = set(new) - set(old)
+        assert len(newcomer) == 1 and (old[0] is victim or new[0] in newcomer)
+    assert len(moved) < 4 * load[victim]
+
+
+def test_load_at_the_heads_of_windows_is_even():
+    """Counted over many functions: the deviation between executors is that of chance and 1 / sqrt(WINDOW)."""
+    members = executors(8 * WINDOW)
+    ring = ring_of(members)
+    mean = 20
+    load = dict.fromkeys(members, 0)
+    for number in range(mean * len(members)):
+        load[RankedExecutors(hash_of(f"function-{number}"), ring).first(1)[0]] += 1
+    spread = sum((n - mean) ** 2 for n in load.values()) / len(load)
+    even = mean + mean**2 / WINDOW  # Poisson, and windows that hold more or fewer points
+    assert 0.8 * even < spread < 1.3 * even, (spread, even)
+    assert max(load.values()) < 3 * mean
+
+
+def test_work_of_a_first_call_does_not_grow_with_the_fleet():
+    """Danger: ranked over the whole list, a function's first call costs a sort of the fleet."""
+    counts = []
+    for size in (2 * WINDOW, 16 * WINDOW, 64 * WINDOW):
+        ring = ring_of(executors(size))
+        with counted_ranks() as ranks:
+            for number in range(10):
+                RankedExecutors(hash_of(f"function-{number}"), ring).first(1)
+        counts.append(ranks["ranks"])
+    # one rank for the point, one for each of the window
+    assert counts == [10 * (WINDOW + 1)] * 3
+
+
+def test_held_executors_do_not_grow_with_the_fleet():
+    for size in (2 * WINDOW, 32 * WINDOW):
+        ring = ring_of(executors(size))
+        ranked = RankedExecutors(hash_of("function"), ring)
+        ranked.first(1)
+        for _ in ranked:  # a walk of all keeps nothing
+            pass
+        assert len(ranked._window) == WINDOW and ranked._tail == []
+
+
+def test_a_wide_function_holds_what_it_asked_for():
+    """A hot function's homes are more than a window: they are ranked once, not at each call."""
+    ring = ring_of(executors(10 * WINDOW))
+    ranked = RankedExecutors(hash_of("function"), ring)
+    ranked.first(4 * WINDOW)
+    with counted_ranks() as ranks:
+        wide = ranked.first(4 * WINDOW)
+        ranked.first(1)
+    assert ranks["ranks"] == 0 and len(wide) == 4 * WINDOW
+    assert len(ranked._window) + len(ranked._tail) == 4 * WINDOW
+    ring.remove(wide[0])
+    ranked.first(1)
+    assert ranked._tail == []
+
+
+def test_a_change_is_followed_without_a_new_sort():
+    """One executor comes or goes: windows that it does not touch cost no rank, the others a few."""
+    members = executors(8 * WINDOW)
+    ring = ring_of(members)
+    ranked = [RankedExecutors(hash_of(f"function-{number}"), ring) for number in range(200)]
+    before = [one.first(WINDOW) for one in ranked]
+    victim = before[0][WINDOW // 2]
+    touched = [victim in some for some in before]
+    for change in (ring.remove, ring.add):
+        change(victim)
+        for one, has in zip(ranked, touched):
+            with counted_ranks() as ranks:
+                one.first(1)
+            # taking out, putting in and the search for each, or a new sort where it was the window's last
+            assert ranks["ranks"] <= (WINDOW if has else 0)
+    with counted_ranks() as ranks:
+        for change in (ring.remove, ring.add):
+            change(victim)
+            for one in ranked:
+                one.first(1)
+    assert ranks["ranks"] < sum(touched) * 2 * 40  # far from 2 x WINDOW each
+    assert [one.first(WINDOW) for one in ranked] == before
