The window is an arc of the ring, not a count of executors: less moves when one leaves

Change: the window is an arc that stays as it is; its width halves as the fleet doubles, for each function at a size of its own. It holds 128 on average, between half and twice that. Up to 128 ready executors it is the whole fleet as before. Less code: no end of a window to be followed. Measured: tests/test_ranking.py (27), test_ranking_front_end.py (58), test_choice.py pass; a function that the change of one executor moves had it as first home or has a window that halves at that size.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 
 from .choice_state import Deadlines, Executor, Fleet, FrontEndState, FunctionState, Transmission, Trigger
+from .hash_ring import RingWindow
 from .interface import (
     NEVER_RAN,
     ColdRule,
@@ -37,7 +38,7 @@
     Verb,
     Warmth,
 )
-from .ranking import WINDOW, FunctionRank, function_order
+from .ranking import WINDOW, FunctionRank
 
 # Tuned values. Times in ms.
 VARIANCE = 2.0  # a skilled executor without a free lane is passed over past this times the mean backlog
@@ -104,7 +105,7 @@
     def __init__(self, index: int, stable: str, lanes: int, load_ms: float, now: float) -> None:
         super().__init__(index, stable, lanes, load_ms or UNHEARD_LOAD_MS, load_ms, now)
         self.rank = FunctionRank(self.salt)
-        self.order = function_order(self.rank)
+        self.order: RingWindow[Executor] = RingWindow(self.rank)
 
     def ranked(self, fleet: Fleet, count: int = WINDOW) -> list[Executor]:
         """The first of the ready ones by rank, from the function's first home on."""
--- a/petrelway/hash_ring.py
+++ b/petrelway/hash_ring.py
@@ -8,13 +8,13 @@
 
 from array import array
 from bisect import bisect_left
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from itertools import chain
 from typing import Generic, Protocol, TypeVar
 
 HASH_BITS = 64
 HASH_MASK = (1 << HASH_BITS) - 1
-WHOLE_RING = 1 << HASH_BITS  # greater than the distance of any two points on the ring
+WHOLE_RING = 1 << HASH_BITS  # its circumference
 
 # Both bound time and memory; no order hangs on them.
 CHANGES_KEPT = 128  # past about so many changes to look at each costs more than a window sorted anew
@@ -69,16 +69,12 @@
         """The index of the first member at or after a point; it may be one past the last."""
         return bisect_left(self._salts, point)
 
-    def at(self, index: int) -> Member:
-        """The member at an index, counted on round the ring."""
-        return self.members[index % len(self.members)]
-
-    def arc(self, index: int, count: int) -> list[Member]:
-        """So many members from an index on, round the ring; each once at most."""
-        begin = index % max(1, len(self.members))
-        count = min(count, len(self.members))
-        past_end = begin + count - len(self.members)
-        return self.members[begin : begin + count] + self.members[: max(0, past_end)]
+    def arc(self, begin: int, width: int) -> list[Member]:
+        """The members from a point on, round the ring, short of the point that is `width` further."""
+        first, end = self.index_after(begin), begin + width
+        if end <= WHOLE_RING:
+            return self.members[first : self.index_after(end)]
+        return self.members[first:] + self.members[: self.index_after(end - WHOLE_RING)]
 
     def changed_since(self, version: int) -> list[Member] | None:
         """The members that came or went since a version, or None if that is too long ago."""
@@ -106,22 +102,32 @@
             del self._recent[: CHANGES_KEPT // 2]
 
 
+class Ranking(Protocol):
+    """How members rank in one window, where the window begins and how wide it is."""
+
+    point: int  # the window begins there
+
+    def __call__(self, member: RingMember) -> int:
+        """The rank of a member, of its salt alone; other salts have other ranks."""
+
+    def arcs(self, members: int) -> int:
+        """Into so many arcs of equal width the ring is cut, a power of two; the window is the first."""
+
+
 class RingWindow(Generic[Member]):
-    """All members of a ring in an order that begins with a window: the `size` members that follow a point,
-    highest rank first; then the next `size` members by rank, and so on round the ring. Holds the window, and
-    more only where `first` asked for it. Follows the changes of one ring, which is given at each call."""
+    """All members of a ring in an order that begins with a window: the members of the arc that follows a
+    point, highest rank first; then those of the next arc by rank, and so on round the ring. Holds the window,
+    and more only where `first` asked for it. Follows the changes of one ring, which is given at each call."""
 
-    __slots__ = ("_end", "_point", "_rank", "_size", "_tail", "_version", "_window")
+    __slots__ = ("_arcs", "_rank", "_tail", "_tail_arcs", "_version", "_window")
 
-    def __init__(self, point: int, size: int, rank: Callable[[Member], int]) -> None:
-        """`rank` goes by a member's salt alone, and other salts have other ranks."""
-        self._point = point
-        self._size = size
+    def __init__(self, rank: Ranking) -> None:
         self._rank = rank
         self._version = -1  # of the ring, when the window was brought up to date
-        self._window: list[Member] = []  # by rank
-        self._end = WHOLE_RING  # distance from the point to the window's last member on the ring
-        self._tail: list[Member] = []  # what follows the window, as far as `first` needed it
+        self._arcs = 1  # in the ring
+        self._window: list[Member] = []  # the first arc, by rank
+        self._tail: list[Member] = []  # the arcs that follow, as far as `first` needed them ...
+        self._tail_arcs = 0  # ... so many
 
     def first(self, ring: HashRing[Member], count: int) -> list[Member]:
         """The first members of the order, at most so many."""
@@ -129,69 +135,47 @@
         beyond = count - len(self._window)
         if beyond <= 0:
             return self._window[:count]
-        if len(self._tail) < beyond:
-            self._extend(ring, beyond)
+        while len(self._tail) < beyond and self._tail_arcs < self._arcs - 1:
+            self._tail_arcs += 1
+            self._tail += self._arc(ring, self._tail_arcs)
         return self._window + self._tail[:beyond]
 
     def all(self, ring: HashRing[Member]) -> Iterator[Member]:
         """All members in order, each once. The ring must not change meanwhile."""
         self._refresh(ring)
-        held = len(self._window) + len(self._tail)
-        return chain(self._window, self._tail, chain.from_iterable(self._chunks_after(ring, held)))
-
-    def _extend(self, ring: HashRing[Member], beyond: int) -> None:
-        """Hold so many members after the window, or all there are."""
-        for chunk in self._chunks_after(ring, len(self._window) + len(self._tail)):
-            self._tail += chunk
-            if len(self._tail) >= beyond:
-                return
-
-    def _chunks_after(self, ring: HashRing[Member], held: int) -> Iterator[list[Member]]:
-        """The next members of the ring after so many held ones, as many at a time as a window holds."""
-        start = ring.index_after(self._point)
-        for offset in range(held, len(ring), self._size):
-            count = min(self._size, len(ring) - offset)
-            yield self._sorted(ring.arc(start + offset, count))
-
-    def _sorted(self, members: list[Member]) -> list[Member]:
-        """Highest rank first. Equal ranks are equal salts, which stay in the order of the ring."""
-        return sorted(members, key=self._rank, reverse=True)
+        further = (self._arc(ring, number) for number in range(self._tail_arcs + 1, self._arcs))
+        return chain(self._window, self._tail, chain.from_iterable(further))
+
+    def _arc(self, ring: HashRing[Member], number: int) -> list[Member]:
+        """The members of an arc by rank. Equal ranks are equal salts, which stay in the order of the ring."""
+        width = WHOLE_RING // self._arcs
+        begin = (self._rank.point + number * width) & HASH_MASK
+        return sorted(ring.arc(begin, width), key=self._rank, reverse=True)
 
     def _refresh(self, ring: HashRing[Member]) -> None:
         if self._version == ring.version:
             return
-        start = ring.index_after(self._point)
-        if not self._follow(ring, start):
-            self._window = self._sorted(ring.arc(start, self._size))
+        arcs = self._rank.arcs(len(ring))
+        if arcs != self._arcs or not self._follow(ring):
+            self._arcs = arcs
+            self._window = self._arc(ring, 0)
         self._tail = []
-        self._end = WHOLE_RING
-        if len(ring) > self._size:
-            self._end = self._distance(ring.at(start + self._size - 1))
+        self._tail_arcs = 0
         self._version = ring.version
 
-    def _follow(self, ring: HashRing[Member], start: int) -> bool:
+    def _follow(self, ring: HashRing[Member]) -> bool:
         """Bring the window up to date by what came and went within it; False if it must be sorted anew."""
         changed = ring.changed_since(self._version)
         if changed is None:
             return False
-        inside = [member for member in changed if self._distance(member) <= self._end]
+        width, point = WHOLE_RING // self._arcs, self._rank.point
+        inside = [member for member in changed if (member.salt - point) & HASH_MASK < width]
         if REBUILD_SHARE * len(inside) > len(self._window):
             return False
-        if any(self._distance(member) == self._end for member in inside):
-            return False  # the last one itself: the others no longer say where the window ended
         for member in inside:
             self._set_held(member, member in ring)
-        self._resize(ring, start)
         return True
 
-    def _resize(self, ring: HashRing[Member], start: int) -> None:
-        """The window holds the first members after the point, but perhaps too many or too few of them."""
-        size = min(self._size, len(ring))
-        while len(self._window) < size:
-            self._set_held(ring.at(start + len(self._window)), True)
-        while len(self._window) > size:
-            self._set_held(ring.at(start + len(self._window) - 1), False)
-
     def _set_held(self, member: Member, held: bool) -> None:
         """Put a member at its place in the window or take it out; nothing if that is so already."""
         window = self._window
@@ -207,7 +191,3 @@
     def _twin_precedes(self, other: Member, member: Member) -> bool:
         """Whether two members of one salt stand in this order."""
         return other.salt == member.salt and other.stable < member.stable
-
-    def _distance(self, member: Member) -> int:
-        """From the window's point on round the ring to a member."""
-        return (member.salt - self._point) & HASH_MASK
