Straits and narrows are the fault schedule and the fault-injecting proxy, everywhere

Cause: the words of the earlier house style are withdrawn; these said nothing to a newcomer. Change: standin/straits.py is fault_schedule.py (Strait: NetworkFault, Straits: FaultSchedule), narrows.py is fault_proxy.py (narrow: proxy_address); the commands `standin straits` and `strait` are `fault-proxy` and `network-fault`, a record's straits.jsonl is fault_proxy.jsonl, its kind "strait" is "network fault". No word of a settings file changes. Left on purpose: the label of the random source, with another a seed would play other losses; it stands once, as a constant that says so. Pass: test_fleet, test_settings, test_emulator, test_policy, test_policy_process, doctests of standin, settings, emulator; the tests are unchanged but for the names.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -30,7 +30,7 @@
 from petrelway.rules.explorer import explore
 from petrelway.settings.reading import evaluate
 from petrelway.standin.memory import World
-from petrelway.standin.straits import Strait, Straits
+from petrelway.standin.fault_schedule import NetworkFault, FaultSchedule
 
 TORN = Path(__file__).parent.parent / "examples" / "torn-day.jsonnet"
 TOLD, BY_PARTS, TRUE = "number told", "parts", "true number"
@@ -41,7 +41,7 @@
 
 
 def waters(size: int, seed: int) -> Sea:
-    sea = Sea(World(), Straits(random.Random(seed)), size, seed)
+    sea = Sea(World(), FaultSchedule(random.Random(seed)), size, seed)
     for number in range(size):
         sea.start(number)
     sea.sim.run(sea.sim.now_s + 20.0)
@@ -79,8 +79,8 @@
     ]
     every = frozenset(range(size))
     # nothing passes any more, and nothing refuses
-    gone = Strait("cut", frozenset([vanished]), every - {vanished}, sea.now(), sea.now() + 1e9)
-    sea.straits.add(gone)
+    gone = NetworkFault("cut", frozenset([vanished]), every - {vanished}, sea.now(), sea.now() + 1e9)
+    sea.faults.add(gone)
     others = [n for n in sea.peers if n != vanished]
     id = sea.ids[vanished]
     found["vanished: s until all others hold it failed"] = [
@@ -88,9 +88,9 @@
             sea, lambda: all(sea.peers[n].members.others[id].state is State.FAILED for n in others), 0.1, 90.0
         )
     ]
-    sea.straits.clear(sea.now())
+    sea.faults.clear(sea.now())
     side = frozenset(range(size * 5 // 12))
-    sea.straits.add(Strait("cut", side, every - side, sea.now(), sea.now() + 20_000.0))
+    sea.faults.add(NetworkFault("cut", side, every - side, sea.now(), sea.now() + 20_000.0))
     sea.sim.run(sea.sim.now_s + 20.0)
     alive = until(
         sea, lambda: all(len(p.members.by[State.ALIVE]) == size - 2 for p in sea.peers.values()), 0.25, 120.0
@@ -114,7 +114,7 @@
         ("double", 0.1, 300.0),
         ("reorder", 0.1, 300.0),
     ):
-        sea.straits.add(Strait(kind, every, every, sea.now(), sea.now() + 1e9, much, extra))
+        sea.faults.add(NetworkFault(kind, every, every, sea.now(), sea.now() + 1e9, much, extra))
     some, suspected, failed, hours = list(range(0, size, 6)), 0, 0, 0.0
     for turn in range(90):
         stopped = some[turn % len(some)]
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -36,14 +36,14 @@
 from petrelway.policy.words import Told
 from petrelway.rules.policy import judge
 from petrelway.standin.memory import World
-from petrelway.standin.straits import Straits
+from petrelway.standin.fault_schedule import FaultSchedule
 
 ROOT = Path(__file__).parent.parent
 
 
 def calm() -> None:
     for size in (9, 60, 300):
-        c = Council(World(), Straits(random.Random(1)), size, 3, 1, every_s=0.05 * size / 9)
+        c = Council(World(), FaultSchedule(random.Random(1)), size, 3, 1, every_s=0.05 * size / 9)
         for number in range(size):
             c.start(number)
         c.sim.run(c.sim.now_s + 4.0)
@@ -237,7 +237,7 @@
     try:
         for n in range(count):
             if n % 10 == 5:
-                fleet.strait("delay", size=25, extra=25)
+                fleet.network_fault("delay", size=25, extra=25)
             elif n % 10 == 9:
                 fleet.clear()
             began = time.monotonic()
--- a/petrelway/commands/standins.py
+++ b/petrelway/commands/standins.py
@@ -6,7 +6,7 @@
 
 import click
 
-from ..standin.straits import KINDS
+from ..standin.fault_schedule import KINDS
 
 
 @click.group()
@@ -74,11 +74,11 @@
 
 @standin.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False))
-def straits(folder: str) -> None:
+def fault_proxy(folder: str) -> None:
     """The faulty network between front ends."""
-    from ..standin.narrows import play_straits
+    from ..standin.fault_proxy import play_fault_proxy
 
-    _run(play_straits, folder)
+    _run(play_fault_proxy, folder)
 
 
 @standin.command()
@@ -89,9 +89,11 @@
 @click.option("--for", "len_s", default=0.0, help="Seconds; 0: until it is cleared.")
 @click.option("--size", default=1.0, help="Share of the messages, or ms of delay.")
 @click.option("--extra", default=0.0, help="ms of jitter, of the second copy, of half a flap.")
-def strait(folder: str, kind: str, some: str, others: str, len_s: float, size: float, extra: float) -> None:
+def network_fault(
+    folder: str, kind: str, some: str, others: str, len_s: float, size: float, extra: float
+) -> None:
     """Put a trouble between front ends of the rehearsal in FOLDER while it plays, or clear all."""
-    from ..standin.narrows import ask
+    from ..standin.fault_proxy import ask
 
     try:
         asked = {
--- a/petrelway/emulator/council.py
+++ b/petrelway/emulator/council.py
@@ -15,7 +15,7 @@
 from ..policy.store import after
 from ..policy.words import Kept, Progress, Propose, read, write
 from ..standin.memory import Process, World
-from ..standin.straits import Straits
+from ..standin.fault_schedule import FaultSchedule
 from ..wire.framing import HEADER
 
 DIAL_MS = 0.5
@@ -98,14 +98,14 @@
     def __init__(
         self,
         sim: World,
-        straits: Straits,
+        faults: FaultSchedule,
         size: int,
         keepers: int = 3,
         seed: int = 0,
         way_ms: float = 0.5,
         every_s: float = 0.05,
     ) -> None:
-        self.sim, self.straits, self.size, self.keepers, self.seed = sim, straits, size, keepers, seed
+        self.sim, self.faults, self.size, self.keepers, self.seed = sim, faults, size, keepers, seed
         self.way_ms, self.every_s = way_ms, every_s
         self.names = [f"front-{i}" for i in range(size)]
         self.ones: dict[int, One] = {}
@@ -154,7 +154,7 @@
         number = int(to.rpartition("-")[2])
         self.counts["words"] += 1
         self.counts["bytes"] += len(data)
-        for late_ms in self.straits.carry(self.now(), one.number, number):
+        for late_ms in self.faults.carry(self.now(), one.number, number):
             self.sim.later((self.way_ms + late_ms) / 1e3, self._arrive, one.name, number, data)
 
     def _arrive(self, sender: str, number: int, data: bytes) -> None:
@@ -163,15 +163,15 @@
 
     def dial(self, one: One, to: str) -> None:
         number, began, own_ms = int(to.rpartition("-")[2]), self.now(), one.now()
-        there_ms = self.straits.late_ms(began, one.number, number) + DIAL_MS / 2
+        there_ms = self.faults.late_ms(began, one.number, number) + DIAL_MS / 2
 
         def there() -> None:
             now = self.now()
-            if number in self.ones or self.straits.is_cut(began, one.number, number):
+            if number in self.ones or self.faults.is_cut(began, one.number, number):
                 return
-            if self.straits.is_cut(now, number, one.number):
+            if self.faults.is_cut(now, number, one.number):
                 return
-            back_ms = self.straits.late_ms(now, number, one.number) + DIAL_MS / 2
+            back_ms = self.faults.late_ms(now, number, one.number) + DIAL_MS / 2
             self.sim.later(back_ms / 1e3, one.process.run, refused)
 
         def refused() -> None:
--- a/petrelway/emulator/day.py
+++ b/petrelway/emulator/day.py
@@ -19,9 +19,9 @@
 from ..standin.machine import Marks
 from ..standin.memory import Process, World
 from ..standin.roster import Book, changes, first_lines, tell
-from ..standin.script import Happening, late, other_ways, straits, write
+from ..standin.script import Happening, late, network_faults, other_ways, write
 from ..standin.store import Store
-from ..standin.straits import Straits
+from ..standin.fault_schedule import FaultSchedule, fault_random_source
 from ..standin.traffic import functions
 from .clients import Clients
 from .fronts import CENTRE, Front, Place
@@ -149,9 +149,9 @@
 
     def _make_sea(self, seed: int) -> Sea:
         """The front ends know each other, over the day's own troubles between them."""
-        ways = Straits(random.Random(f"{seed}/straits"))
-        for strait in straits(self.day, self.epoch_ms):
-            ways.add(strait)
+        ways = FaultSchedule(fault_random_source(seed))
+        for fault in network_faults(self.day, self.epoch_ms):
+            ways.add(fault)
         sea = Sea(self.sim, ways, self.day["fleet"].fronts, seed, self.day["network"].between_ms)
         sea.record = self.tape
         return sea
--- a/petrelway/emulator/policy_traffic.py
+++ b/petrelway/emulator/policy_traffic.py
@@ -19,7 +19,7 @@
 from ..policy.words import Progress
 from ..settings.front import FunctionEntry, TariffTerms
 from ..standin.memory import World
-from ..standin.straits import Strait, Straits
+from ..standin.fault_schedule import NetworkFault, FaultSchedule
 from .council import One, Council
 
 VOTERS = 3
@@ -104,7 +104,7 @@
         self.activated_ms: dict[tuple[str, int], float] = {}  # by member and version
         self.in_turn = False
         self.revision = 0
-        super().__init__(World(), Straits(random.Random(seed)), size, VOTERS, seed, every_s=NEVER_S)
+        super().__init__(World(), FaultSchedule(random.Random(seed)), size, VOTERS, seed, every_s=NEVER_S)
 
     # -- observation
 
@@ -237,7 +237,7 @@
     def vanish(self, number: int) -> None:
         """The member's machine is gone: nothing answers there, and nothing refuses a connection."""
         others = frozenset(range(self.size)) - {number}
-        self.straits.add(Strait("cut", frozenset({number}), others, self.now(), float("inf")))
+        self.faults.add(NetworkFault("cut", frozenset({number}), others, self.now(), float("inf")))
         self.kill(number)
 
 
--- a/petrelway/emulator/sea.py
+++ b/petrelway/emulator/sea.py
@@ -14,7 +14,7 @@
 from ..fleet.words import Word, digest, write
 from ..interface import Part
 from ..standin.memory import Process, World
-from ..standin.straits import Straits
+from ..standin.fault_schedule import FaultSchedule
 
 DIAL_MS = 0.5  # there and back on an idle network
 
@@ -87,8 +87,10 @@
 class Sea:
     """All members' processes and the ways between them. `number` counts the members from 0."""
 
-    def __init__(self, sim: World, straits: Straits, size: int, seed: int = 0, way_ms: float = 0.5) -> None:
-        self.sim, self.straits, self.seed, self.way_ms = sim, straits, seed, way_ms
+    def __init__(
+        self, sim: World, faults: FaultSchedule, size: int, seed: int = 0, way_ms: float = 0.5
+    ) -> None:
+        self.sim, self.faults, self.seed, self.way_ms = sim, faults, seed, way_ms
         self.ids = [digest(f"front-{i}") for i in range(size)]
         self.numbers = {id: i for i, id in enumerate(self.ids)}
         self.fleet = digest("emulated")
@@ -115,7 +117,7 @@
             return
         self.counts["datagrams"] += 1
         self.counts["bytes"] += len(write(d.word))
-        for late_ms in self.straits.carry(self.now(), peer.number, to):
+        for late_ms in self.faults.carry(self.now(), peer.number, to):
             self.sim.later((self.way_ms + late_ms) / 1e3, self._arrive, peer.number, to, d.word)
 
     def _arrive(self, sender: int, to: int, word: Word) -> None:
@@ -126,15 +128,15 @@
         """A refusal comes back; what is cut off, stopped or there says nothing of the kind."""
         began = self.now()
         self.counts["tries"] += 1
-        there_ms = self.straits.late_ms(began, peer.number, to) + DIAL_MS / 2
+        there_ms = self.faults.late_ms(began, peer.number, to) + DIAL_MS / 2
 
         def there() -> None:
             now = self.now()
-            if to in self.peers or self.straits.is_cut(began, peer.number, to):
+            if to in self.peers or self.faults.is_cut(began, peer.number, to):
                 return
-            if self.straits.is_cut(now, to, peer.number):
+            if self.faults.is_cut(now, to, peer.number):
                 return
-            back_ms = self.straits.late_ms(now, to, peer.number) + DIAL_MS / 2
+            back_ms = self.faults.late_ms(now, to, peer.number) + DIAL_MS / 2
             self.sim.later(back_ms / 1e3, peer.process.run, self._refused, peer, to, began)
 
         self.sim.later(there_ms / 1e3, there)
--- a/petrelway/emulator/storm.py
+++ b/petrelway/emulator/storm.py
@@ -9,12 +9,21 @@
 
 from ..rules.policy import Breach, judge
 from ..standin.memory import World
-from ..standin.straits import Strait, Straits
+from ..standin.fault_schedule import FaultSchedule, NetworkFault, fault_random_source
 from .council import Council
 
 STEP_S = 0.25
 QUIET_S = 40.0  # after the last trouble: by then a change has to go through
-KILLS = ("kill", "kill keeper", "die at a sync", "stop", "stop keeper", "strait", "strait", "all keepers")
+KILLS = (
+    "kill",
+    "kill keeper",
+    "die at a sync",
+    "stop",
+    "stop keeper",
+    "network fault",
+    "network fault",
+    "all keepers",
+)
 KINDS = ("loss", "delay", "double", "reorder", "cut", "one way", "flap")
 
 
@@ -51,7 +60,7 @@
     ) -> None:
         """`hard`: how often troubles begin, against twice in three seconds."""
         self.chance = random.Random(f"{seed}/storm")
-        self.council = Council(World(), Straits(random.Random(f"{seed}/straits")), size, keepers, seed,
+        self.council = Council(World(), FaultSchedule(fault_random_source(seed)), size, keepers, seed,
                                every_s=every_s)  # fmt: skip
         self.seed, self.length_s, self.hard = seed, length_s, hard
         self.later: list[tuple[float, str, int]] = []
@@ -140,10 +149,10 @@
         elif kind in ("stop", "stop keeper") and number in council.ones:
             council.ones[number].process.freeze()
             self.later.append((back, "go on", number))
-        elif kind == "strait":
-            self._strait(now, back)
+        elif kind == "network fault":
+            self._network_fault(now, back)
 
-    def _strait(self, now: float, back: float) -> None:
+    def _network_fault(self, now: float, back: float) -> None:
         council, chance = self.council, self.chance
         kind, every = chance.choice(KINDS), frozenset(range(council.size))
         some = frozenset(chance.sample(sorted(every), chance.randrange(1, council.size)))
@@ -155,13 +164,15 @@
             extra = size / 2
         elif kind == "flap":
             extra = chance.choice((200.0, 1000.0, 3000.0))
-        council.straits.over(now * 1e3)
-        council.straits.add(Strait(kind, some, every - some or every, now * 1e3, back * 1e3, size, extra))
+        council.faults.over(now * 1e3)
+        council.faults.add(
+            NetworkFault(kind, some, every - some or every, now * 1e3, back * 1e3, size, extra)
+        )
 
     def _quiet(self) -> None:
         """All troubles are over, all are there again."""
         council = self.council
-        council.straits.clear(council.now())
+        council.faults.clear(council.now())
         council.dying.clear()
         for number in range(council.size):
             if number in council.ones:
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -16,10 +16,10 @@
 import psutil
 from twisted.internet import defer, error, protocol
 
-from ..standin.narrows import narrow
+from ..standin.fault_proxy import proxy_address
 from ..standin.parts import Plan
 from ..standin.script import late, other_ways
-from ..standin.straits import ROSTER
+from ..standin.fault_schedule import ROSTER
 from .fronts import front_settings
 from .realworkers import write_packages, write_worker
 
@@ -103,7 +103,7 @@
         token.chmod(0o600)
     if tree.get("fleet_troubles") or tree["fleet"].get("members") or tree["fleet"].get("keepers"):
         plan["ports"]["peers"] = own.draw(fronts)
-        plan["ports"]["straits"], plan["ports"]["control"] = own.draw(2)
+        plan["ports"]["fault_proxy"], plan["ports"]["control"] = own.draw(2)
     (folder / "plan.json").write_text(json.dumps(plan))
 
 
@@ -117,7 +117,7 @@
             plan.day, tree, i, plan.ports["fronts"][i], plan.ports["roster"], log, peers(plan, i)
         )
         if other_ways(plan.day):
-            settings["roster"] = {"port": plan.ports["straits"], "address": narrow(i, ROSTER)}
+            settings["roster"] = {"port": plan.ports["fault_proxy"], "address": proxy_address(i, ROSTER)}
         if consoles := plan.ports.get("consoles"):
             settings["console"] = {"port": consoles[i], "token_file": str(plan.folder / "console.token")}
         if keepers := plan.day["fleet"].keepers:
@@ -132,7 +132,7 @@
     if not (ports := plan.ports.get("peers")):
         return None
     members = [
-        {"name": f"front-{i}", "address": narrow(number, i), "port": plan.ports["straits"]}
+        {"name": f"front-{i}", "address": proxy_address(number, i), "port": plan.ports["fault_proxy"]}
         for i in range(len(ports))
         if i != number
     ]
@@ -230,7 +230,7 @@
             for hall in range(len(day["fleet"].halls)):
                 self._spawn(f"executors-{hall}", "standin", "executors", str(self.folder), str(hall))
         if "peers" in plan.ports:
-            self._spawn("straits", "standin", "straits", str(self.folder))
+            self._spawn("fault-proxy", "standin", "fault-proxy", str(self.folder))
         for number in range(day["fleet"].fronts):
             if number not in late(day):
                 self._start_front(number)
--- a/petrelway/settings/days.py
+++ b/petrelway/settings/days.py
@@ -6,7 +6,7 @@
 
 from msgspec import Meta, field
 
-from ..standin.straits import KINDS as STRAITS
+from ..standin.fault_schedule import KINDS as NETWORK_FAULTS
 from .front import (
     ColdStart,
     Count,
@@ -53,7 +53,7 @@
     "far",
     "loss",
 )
-FLEET_KINDS = (*STRAITS, "kill", "stop", "leave", "late")
+FLEET_KINDS = (*NETWORK_FAULTS, "kill", "stop", "leave", "late")
 ON_CONNECTIONS = ("cut", "one way", "flap", "delay")  # a connection loses nothing for good
 EMULATED_ONLY = ("cut", "far", "loss")  # what the network does can't be played on one machine's loopback
 
--- a/petrelway/standin/narrows.py
+++ b/petrelway/standin/fault_proxy.py
@@ -1,11 +1,11 @@
-"""The faulty network on loopback: a relay that every message between two front ends passes.
+"""A fault-injecting proxy on loopback: a relay that every message between two front ends passes.
 
-Front end A meets B at an address of their own, which `narrow` gives; what A sends there comes out at B from
-the address at which B meets A. A datagram passes as the schedule (straits.py) says; bytes of a connection
-come late, or wait while the way is cut. A port that refuses at B refuses at the relay too, unless the way
-there or back is cut: then nothing is said. Danger: without that nobody could tell a process that is gone from
-one that is cut off. Where a day asks for it the ways to the list service and to executors pass the relay too:
-the list that a front end hears then names the relay's addresses."""
+Front end A meets B at an address of their own, which `proxy_address` gives; what A sends there comes out at B
+from the address at which B meets A. A datagram passes as the schedule (fault_schedule.py) says; bytes of a
+connection come late, or wait while the way is cut. A port that refuses at B refuses at the relay too, unless
+the way there or back is cut: then nothing is said. Danger: without that nobody could tell a process that is
+gone from one that is cut off. Where a day asks for it the ways to the list service and to executors pass the
+relay too: the list that a front end hears then names the relay's addresses."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 
 from ..wire import listing
 from ..wire.framing import Frames
-from .script import EXECUTORS_BOUND, other_ways, straits
-from .straits import EXECUTORS, ROSTER, Strait, Straits
+from .script import EXECUTORS_BOUND, network_faults, other_ways
+from .fault_schedule import EXECUTORS, ROSTER, FaultSchedule, NetworkFault, fault_random_source
 
 LOOK_MS = 50.0  # a port at the far end is looked at this often
 HELD_BOUND = 1 << 20  # bytes of one connection that wait
@@ -29,10 +29,10 @@
 ASK_S = 5.0
 
 
-def narrow(one: int, other: int) -> str:
+def proxy_address(one: int, other: int) -> str:
     """Where `one` meets `other`, for up to 250 front ends and 250 executors.
 
-    >>> narrow(0, 3), narrow(0, ROSTER), narrow(0, EXECUTORS + 3)
+    >>> proxy_address(0, 3), proxy_address(0, ROSTER), proxy_address(0, EXECUTORS + 3)
     ('127.77.1.4', '127.78.1.1', '127.78.1.5')
     """
     if other >= ROSTER:
@@ -52,7 +52,7 @@
         relay = self.relay
         if address[1] != relay.ports[self.one]:
             return  # nobody else has a way here
-        delays = relay.straits.carry(relay.now(), self.one, self.other)
+        delays = relay.faults.carry(relay.now(), self.one, self.other)
         relay.record.note("passed" if delays else "dropped", a=self.one, b=self.other, n=len(delays))
         for ms in delays:
             if ms <= 0.0:
@@ -72,7 +72,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         now = self.relay.now()
-        self.last_ms = max(self.last_ms, now + self.relay.straits.late_ms(now, self.one, self.other))
+        self.last_ms = max(self.last_ms, now + self.relay.faults.late_ms(now, self.one, self.other))
         self.held.append((self.last_ms, now, data))
         self.size += len(data)
         if self.size > HELD_BOUND:
@@ -87,7 +87,7 @@
             self.held.clear()  # nobody is left to hear it
             return
         now = self.relay.now()
-        cut = self.relay.straits.is_cut(now, self.one, self.other)
+        cut = self.relay.faults.is_cut(now, self.one, self.other)
         while (
             self.held and self.held[0][0] <= now and not cut and self.far is not None and self.far.connected
         ):
@@ -124,7 +124,7 @@
             serial, complete, lines = listing.from_roster(payload)
             met = [
                 line._replace(
-                    address=narrow(self.other, EXECUTORS + int(line.executor.rpartition("-")[2])),
+                    address=proxy_address(self.other, EXECUTORS + int(line.executor.rpartition("-")[2])),
                     port=self.relay.meet,
                 )
                 for line in lines
@@ -210,7 +210,7 @@
     ) -> None:
         """`others`: ports of further places that front ends reach by connections, by their number."""
         self.reactor, self.meet, self.record = reactor, meet, record
-        self.straits = Straits(chance)
+        self.faults = FaultSchedule(chance)
         self.size, self.ports = len(ports), {**dict(enumerate(ports)), **(others or {})}
         numbers = range(self.size)
         self.pairs = [(a, b) for a in numbers for b in self.ports if a != b]
@@ -220,7 +220,7 @@
         for a, b in self.pairs:
             if b < self.size:
                 self.ways[a, b] = Way(self, a, b)
-                reactor.listenUDP(meet, self.ways[a, b], interface=narrow(a, b))
+                reactor.listenUDP(meet, self.ways[a, b], interface=proxy_address(a, b))
         self.doors: dict[tuple[int, int], object] = {}
         self.there: dict[int, bool] = dict.fromkeys(self.ports, False)
         factory = protocol.Factory.forProtocol(lambda: Control(self))
@@ -237,7 +237,7 @@
 
     def silent(self, one: int, other: int) -> bool:
         now = self.now()
-        return self.straits.is_cut(now, one, other) or self.straits.is_cut(now, other, one)
+        return self.faults.is_cut(now, one, other) or self.faults.is_cut(now, other, one)
 
     # -- what refuses and what does not
 
@@ -256,7 +256,7 @@
         door = self.doors.get((one, other))
         if open_ and door is None:
             self.doors[one, other] = self.reactor.listenTCP(
-                self.meet, Near(self, one, other), interface=narrow(one, other)
+                self.meet, Near(self, one, other), interface=proxy_address(one, other)
             )
         elif not open_ and door is not None:
             self.doors.pop((one, other)).stopListening()
@@ -266,18 +266,18 @@
     def by_hand(self, asked: dict) -> str:
         """Raises ValueError, KeyError or TypeError for what can't be done."""
         now, every = self.now(), frozenset(range(self.size))
-        self.straits.over(now)
+        self.faults.over(now)
         if asked["kind"] == "clear":
-            self.straits.clear(now)
-            self.record.note("strait", what="clear")
+            self.faults.clear(now)
+            self.record.note("network fault", what="clear")
             return "nothing is in the way any more"
         some = frozenset(asked["some"]) or every
         others = frozenset(asked["others"]) or every - frozenset(asked["some"]) or every
         if not (some | others) <= every:
             raise ValueError(f"found {sorted((some | others) - every)}; allowed: 0 to {len(every) - 1}")
         end = now + asked["len_s"] * 1e3 if asked["len_s"] else float("inf")
-        self.straits.add(Strait(asked["kind"], some, others, now, end, asked["size"], asked["extra"]))
-        self.record.note("strait", what=asked["kind"], some=sorted(some), others=sorted(others))
+        self.faults.add(NetworkFault(asked["kind"], some, others, now, end, asked["size"], asked["extra"]))
+        self.record.note("network fault", what=asked["kind"], some=sorted(some), others=sorted(others))
         return f"{asked['kind']} between {sorted(some)} and {sorted(others)}"
 
 
@@ -297,12 +297,12 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
-def play_straits(reactor, plan) -> None:
+def play_fault_proxy(reactor, plan) -> None:
     """As a part of a rehearsal."""
     from .parts import stay
 
-    record = plan.record("straits", reactor)
-    chance = random.Random(f"{plan.day['day'].seed}/straits")
+    record = plan.record("fault_proxy", reactor)
+    chance = fault_random_source(plan.day["day"].seed)
     others: dict[int, int] = {}
     if other_ways(plan.day):
         others[ROSTER] = plan.ports["roster"]
@@ -310,7 +310,7 @@
             (EXECUTORS + i, port) for i, port in enumerate(plan.ports["executors"][:EXECUTORS_BOUND])
         )
     ports = plan.ports
-    relay = Relay(reactor, ports["peers"], ports["straits"], ports["control"], chance, record, others)
-    for strait in straits(plan.day, plan.epoch_ms):
-        relay.straits.add(strait)
+    relay = Relay(reactor, ports["peers"], ports["fault_proxy"], ports["control"], chance, record, others)
+    for fault in network_faults(plan.day, plan.epoch_ms):
+        relay.faults.add(fault)
     stay(reactor, plan, record)
--- a/petrelway/standin/straits.py
+++ b/petrelway/standin/fault_schedule.py
@@ -1,20 +1,21 @@
 """The faulty network between front ends, pure: which message passes when. Clock and chance handed in; times
 in ms.
 
-A `Strait` is one trouble on the ways from some members to others; those that overlap add up. The relay on
-sockets (narrows.py) and the emulator ask the same schedule."""
+A `NetworkFault` is one fault on the ways from some members to others; those that overlap add up. The
+fault-injecting proxy on sockets (fault_proxy.py) and the emulator ask the same schedule."""
 
 from __future__ import annotations
 
 import random
 from typing import NamedTuple
 
+RANDOM_LABEL = "straits"  # must stay as it is: with another, a seed would play other losses and delays
 KINDS = ("loss", "delay", "double", "reorder", "cut", "one way", "flap")
-STRAITS_BOUND = 1000  # at a time
+FAULTS_BOUND = 1000  # at a time
 ROSTER, EXECUTORS = 1000, 1001  # the list service as a place, and the first executor; members count from 0
 
 
-class Strait(NamedTuple):
+class NetworkFault(NamedTuple):
     """`size`: share of messages (loss, double, reorder) or ms (delay); `extra`: ms of jitter (delay), of the
     second copy or the late one (double, reorder), of each half of a flap. `one way` holds from `some` to
     `others` only."""
@@ -28,25 +29,31 @@
     extra: float = 0.0
 
 
-class Straits:
-    """
-    >>> s = Straits(random.Random(1))
-    >>> s.add(Strait("one way", frozenset([0]), frozenset([1]), 100.0, 200.0))
+def fault_random_source(seed: int) -> random.Random:
+    """The random source of the network faults of a day with this seed, apart from the day's other sources."""
+    return random.Random(f"{seed}/{RANDOM_LABEL}")
+
+
+class FaultSchedule:
+    """The faults of one network.
+
+    >>> s = FaultSchedule(random.Random(1))
+    >>> s.add(NetworkFault("one way", frozenset([0]), frozenset([1]), 100.0, 200.0))
     >>> s.carry(50.0, 0, 1), s.carry(150.0, 0, 1), s.carry(150.0, 1, 0), s.carry(200.0, 0, 1)
     ([0.0], [], [0.0], [0.0])
     """
 
     def __init__(self, chance: random.Random) -> None:
         self.chance = chance
-        self.standing: list[Strait] = []
+        self.standing: list[NetworkFault] = []
 
-    def add(self, strait: Strait) -> None:
+    def add(self, fault: NetworkFault) -> None:
         """Raises ValueError for a kind that is none, or one too many."""
-        if strait.kind not in KINDS:
-            raise ValueError(f"found {strait.kind!r}; allowed: {', '.join(KINDS)}")
-        if len(self.standing) >= STRAITS_BOUND:
-            raise ValueError(f"{STRAITS_BOUND} straits at a time at most")
-        self.standing.append(strait)
+        if fault.kind not in KINDS:
+            raise ValueError(f"found {fault.kind!r}; allowed: {', '.join(KINDS)}")
+        if len(self.standing) >= FAULTS_BOUND:
+            raise ValueError(f"{FAULTS_BOUND} faults at a time at most")
+        self.standing.append(fault)
 
     def clear(self, now: float) -> None:
         """From now on nothing is in the way."""
--- a/petrelway/standin/script.py
+++ b/petrelway/standin/script.py
@@ -8,7 +8,7 @@
 import random
 from typing import Any, NamedTuple
 
-from .straits import EXECUTORS, KINDS, ROSTER, Strait
+from .fault_schedule import EXECUTORS, KINDS, ROSTER, NetworkFault
 
 
 EXECUTORS_BOUND = 250  # behind the faulty network
@@ -74,7 +74,7 @@
     return Script(posts, _possible(happenings))
 
 
-def straits(day: dict[str, Any], epoch_ms: float) -> list[Strait]:
+def network_faults(day: dict[str, Any], epoch_ms: float) -> list[NetworkFault]:
     """What a day puts between its front ends. Times in ms, counted as the epoch is."""
     every, found = frozenset(range(day["fleet"].fronts)), []
     for x in day["fleet_troubles"]:
@@ -88,7 +88,7 @@
                 others = frozenset(x.others) or every - frozenset(x.on) or every
             begin = epoch_ms + x.at_s * 1e3
             end = begin + x.len_s * 1e3 if x.len_s else float("inf")
-            found.append(Strait(x.kind, some, others, begin, end, x.size, x.extra))
+            found.append(NetworkFault(x.kind, some, others, begin, end, x.size, x.extra))
     return found
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Members, parts, words, straits and the fleet's judge, each alone."""
+"""Members, parts, words, network faults and the fleet's judge, each alone."""
 
 import math
 import random
@@ -20,7 +20,7 @@
 from petrelway.rules.explorer import explore
 from petrelway.emulator import partners
 from petrelway.standin.memory import World
-from petrelway.standin.straits import Strait, Straits
+from petrelway.standin.fault_schedule import NetworkFault, FaultSchedule
 
 A, B, C = 11, 22, 33
 EVER = math.inf
@@ -320,13 +320,13 @@
 
 def test_a_fleet_in_memory_agrees_after_a_cut_with_restarts_on_both_sides():
     sim = World()
-    straits = Straits(random.Random(3))
-    sea = Sea(sim, straits, 12, 3)
+    faults = FaultSchedule(random.Random(3))
+    sea = Sea(sim, faults, 12, 3)
     for number in range(12):
         sea.start(number)
     sim.run(sim.now_s + 8.0)
     side = frozenset(range(5))
-    straits.add(Strait("cut", side, frozenset(range(5, 12)), sea.now(), sea.now() + 20_000.0))
+    faults.add(NetworkFault("cut", side, frozenset(range(5, 12)), sea.now(), sea.now() + 20_000.0))
     sim.run(sim.now_s + 8.0)
     for number in (1, 9):
         sea.kill(number)
@@ -417,43 +417,43 @@
     assert found.broken.startswith("parts in use"), found
 
 
-# -- straits
+# -- network faults
 
 ALL = frozenset(range(4))
 SIDE, REST = frozenset([0, 1]), frozenset([2, 3])
 WAYS = [
-    (Strait("cut", SIDE, REST, 0, 100), 0, 2, []),
-    (Strait("cut", SIDE, REST, 0, 100), 2, 0, []),
-    (Strait("cut", SIDE, REST, 0, 100), 0, 1, [0.0]),
-    (Strait("cut", SIDE, REST, 60, 100), 0, 2, [0.0]),
-    (Strait("cut", SIDE, REST, 0, 50), 0, 2, [0.0]),
-    (Strait("one way", SIDE, REST, 0, 100), 0, 2, []),
-    (Strait("one way", SIDE, REST, 0, 100), 2, 0, [0.0]),
-    (Strait("flap", SIDE, REST, 0, 100, 1, 30), 0, 2, [0.0]),  # 50 ms: in the second half, up
-    (Strait("flap", SIDE, REST, 0, 100, 1, 20), 0, 2, []),
-    (Strait("loss", ALL, ALL, 0, 100, 1.0), 0, 2, []),
-    (Strait("delay", ALL, ALL, 0, 100, 700.0), 0, 2, [700.0]),
-    (Strait("double", ALL, ALL, 0, 100, 1.0, 9.0), 0, 2, [0.0, 9.0]),
-    (Strait("reorder", ALL, ALL, 0, 100, 1.0, 9.0), 0, 2, [9.0]),
+    (NetworkFault("cut", SIDE, REST, 0, 100), 0, 2, []),
+    (NetworkFault("cut", SIDE, REST, 0, 100), 2, 0, []),
+    (NetworkFault("cut", SIDE, REST, 0, 100), 0, 1, [0.0]),
+    (NetworkFault("cut", SIDE, REST, 60, 100), 0, 2, [0.0]),
+    (NetworkFault("cut", SIDE, REST, 0, 50), 0, 2, [0.0]),
+    (NetworkFault("one way", SIDE, REST, 0, 100), 0, 2, []),
+    (NetworkFault("one way", SIDE, REST, 0, 100), 2, 0, [0.0]),
+    (NetworkFault("flap", SIDE, REST, 0, 100, 1, 30), 0, 2, [0.0]),  # 50 ms: in the second half, up
+    (NetworkFault("flap", SIDE, REST, 0, 100, 1, 20), 0, 2, []),
+    (NetworkFault("loss", ALL, ALL, 0, 100, 1.0), 0, 2, []),
+    (NetworkFault("delay", ALL, ALL, 0, 100, 700.0), 0, 2, [700.0]),
+    (NetworkFault("double", ALL, ALL, 0, 100, 1.0, 9.0), 0, 2, [0.0, 9.0]),
+    (NetworkFault("reorder", ALL, ALL, 0, 100, 1.0, 9.0), 0, 2, [9.0]),
 ]
 
 
-@pytest.mark.parametrize("strait, one, other, arrives", WAYS)
-def test_what_passes_at_50_ms(strait, one, other, arrives):
-    straits = Straits(random.Random(1))
-    straits.add(strait)
-    assert straits.carry(50.0, one, other) == arrives
+@pytest.mark.parametrize("fault, one, other, arrives", WAYS)
+def test_what_passes_at_50_ms(fault, one, other, arrives):
+    faults = FaultSchedule(random.Random(1))
+    faults.add(fault)
+    assert faults.carry(50.0, one, other) == arrives
 
 
-def test_straits_add_up_and_are_cleared():
-    straits = Straits(random.Random(1))
+def test_network_faults_add_up_and_are_cleared():
+    faults = FaultSchedule(random.Random(1))
     for size in (100.0, 50.0):
-        straits.add(Strait("delay", ALL, ALL, 0, 1000, size))
-    assert straits.carry(1.0, 0, 1) == [150.0]
-    straits.clear(2.0)
-    assert straits.carry(3.0, 0, 1) == [0.0]
+        faults.add(NetworkFault("delay", ALL, ALL, 0, 1000, size))
+    assert faults.carry(1.0, 0, 1) == [150.0]
+    faults.clear(2.0)
+    assert faults.carry(3.0, 0, 1) == [0.0]
     with pytest.raises(ValueError, match="allowed"):
-        straits.add(Strait("fog", ALL, ALL, 0, 1))
+        faults.add(NetworkFault("fog", ALL, ALL, 0, 1))
 
 
 def test_a_seed_draws_the_same_troubles():
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -64,12 +64,12 @@
             if seen.returncode == 0 and "just started" not in seen.stdout:
                 break
         time.sleep(0.5)
-    strait = ("standin", "strait", str(folder))
+    fault = ("standin", "network-fault", str(folder))
     return {
         "members": seen,
         "json": ask("members", "--console", console, "--json"),
-        "cut": ask(*strait, "cut", "--some", "8", "--for", "4"),
-        "unknown": ask(*strait, "cut", "--some", "99"),
+        "cut": ask(*fault, "cut", "--some", "8", "--for", "4"),
+        "unknown": ask(*fault, "cut", "--some", "99"),
     }
 
 
@@ -119,7 +119,7 @@
 
 def test_losses_and_stops_fail_nobody_who_was_not_stopped(played):
     _, lines = played["lossy"]
-    assert {x["k"] for x in lines if x["_file"] == "straits"} >= {"passed", "dropped"}
+    assert {x["k"] for x in lines if x["_file"] == "fault_proxy"} >= {"passed", "dropped"}
     failed = {x["member"] for x in noted(lines, "held") if x["what"] == "failed"}
     assert failed <= {"front-0", "front-1"}
     still = {x["_file"].split("-")[1] for x in noted(lines, "held") if x["what"] == "stood still"}
@@ -192,7 +192,7 @@
     hand, (_, lines) = played["by hand"], played["ways"]
     assert hand["cut"].returncode == 0 and "cut between [8] and [0, 1, 2" in hand["cut"].stdout
     assert hand["unknown"].returncode == 2 and "allowed: 0 to 11" in hand["unknown"].stdout
-    cut = next(x["t"] for x in lines if x["k"] == "strait")
+    cut = next(x["t"] for x in lines if x["k"] == "network fault")
     dropped = {(x["a"], x["b"]) for x in lines if x["k"] == "dropped" and x["t"] >= cut}
     assert dropped and all(8 in way for way in dropped)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -38,7 +38,7 @@
 from petrelway.settings.front import Fleet, FrontEndPlace
 from petrelway.settings.reading import SettingsFault
 from petrelway.standin.memory import World
-from petrelway.standin.straits import Strait, Straits
+from petrelway.standin.fault_schedule import NetworkFault, FaultSchedule
 from petrelway.wire.framing import HEADER
 
 # -- words
@@ -379,7 +379,7 @@
 
 
 def council(size=9, seed=3, **more):
-    c = Council(World(), Straits(random.Random(seed)), size, 3, seed, **more)
+    c = Council(World(), FaultSchedule(random.Random(seed)), size, 3, seed, **more)
     for number in range(size):
         c.start(number)
     c.sim.run(c.sim.now_s + 3.0)
@@ -388,7 +388,7 @@
 
 def cut(c, *some, s=1e6, kind="cut"):
     every = frozenset(range(c.size))
-    c.straits.add(Strait(kind, frozenset(some), every - set(some), c.now(), c.now() + s * 1e3))
+    c.faults.add(NetworkFault(kind, frozenset(some), every - set(some), c.now(), c.now() + s * 1e3))
 
 
 def asks_taken(c):
@@ -549,7 +549,7 @@
     leader = c.leader()
     c.kill(8)
     others = frozenset(range(c.size)) - {leader, 8}
-    c.straits.add(Strait("cut", frozenset([leader, 8]), others, c.now(), c.now() + 1e7))
+    c.faults.add(NetworkFault("cut", frozenset([leader, 8]), others, c.now(), c.now() + 1e7))
     monkeypatch.setattr(keepers, "ELECT_MS", 300.0)  # the others elect before the old leader gives up
     c.note("vouched", fe=f"front-{leader}")
     c.wish(5, "p", 0, '{"n":1}', without=(f"front-{leader}", "front-8"))
--- a/tests/test_policy_process.py
+++ b/tests/test_policy_process.py
@@ -46,7 +46,7 @@
         self.consoles = self.plan.ports["consoles"]
         self.parts = [
             self._run("standin", *words)
-            for words in (("services", str(folder)), ("straits", str(folder)),
+            for words in (("services", str(folder)), ("fault-proxy", str(folder)),
                           *(("executors", str(folder), str(hall)) for hall in range(3)),
                           ("clients", str(folder), "0"))
         ]  # fmt: skip
@@ -147,15 +147,15 @@
     def signal(self, number, how):
         self.fronts[number].send_signal(how)
 
-    def strait(self, kind, *some, others=(), **more):
-        words = ["standin", "strait", str(self.folder), kind]
+    def network_fault(self, kind, *some, others=(), **more):
+        words = ["standin", "network-fault", str(self.folder), kind]
         for name, value in (("--some", ",".join(map(str, some))), ("--others", ",".join(map(str, others))),
                             ("--for", 600), *((f"--{k}", v) for k, v in more.items())):  # fmt: skip
             words += [name, str(value)] if value != "" else []
         subprocess.run([*PETRELWAY, *words], cwd=ROOT, check=True, capture_output=True, timeout=30)
 
     def clear(self):
-        self.strait_clear = subprocess.run([*PETRELWAY, "standin", "strait", str(self.folder), "clear"],
+        self.fault_clear = subprocess.run([*PETRELWAY, "standin", "network-fault", str(self.folder), "clear"],
                                            cwd=ROOT, check=True, capture_output=True, timeout=30)  # fmt: skip
 
     # -- the end
@@ -320,7 +320,7 @@
 def test_a_minority_with_the_leader_is_cut_off(fleet):
     version, leader = fleet.version(), fleet.leader()
     via = next(n for n in range(3, 9) if n != 8)
-    fleet.strait("cut", leader, 8)
+    fleet.network_fault("cut", leader, 8)
     end = fleet.change(10.0, by=via)
     assert end["state"] == "abandoned" and "front-8" in end["why"]
     fleet.clear()
@@ -330,7 +330,7 @@
 def test_a_minority_without_the_leader_is_cut_off_one_way(fleet):
     version, leader = fleet.version(), fleet.leader()
     other = next(n for n in range(3) if n != leader)
-    fleet.strait("one way", other, 8, others=[n for n in range(9) if n not in (other, 8)])
+    fleet.network_fault("one way", other, 8, others=[n for n in range(9) if n not in (other, 8)])
     assert fleet.change(11.0)["state"] == "abandoned"
     fleet.clear()
     assert fleet.change(11.5)["state"] == "adopted"
@@ -339,7 +339,7 @@
 
 def test_words_that_are_late(fleet):
     version = fleet.version()
-    fleet.strait("delay", size=250, extra=250)
+    fleet.network_fault("delay", size=250, extra=250)
     assert fleet.change(12.0)["state"] == "adopted"
     fleet.until(lambda: fleet.all_run(version + 1))
 
@@ -347,7 +347,7 @@
 def test_where_the_silent_stop_a_change_goes_on_without_them(fleet):
     version = fleet.version()
     assert fleet.change(13.0, silent="stop")["state"] == "adopted"
-    fleet.strait("cut", 7)
+    fleet.network_fault("cut", 7)
     assert fleet.change(13.5)["state"] == "adopted"
     assert fleet.seen(7)["serving"] is False and fleet.seen(7)["version"] == version + 1
     fleet.clear()
