--- a/petrelway/commands/standins.py
+++ b/petrelway/commands/standins.py
@@ -109,4 +109,39 @@
     raise SystemExit(0 if answer["done"] else 2)
 
 
+@standin.command()
+@click.argument("size", type=int)
+@click.argument("first", type=int)
+@click.argument("count", type=int)
+@click.option("--network", default=77, help="Second byte of all addresses, 127.NETWORK.x.y.")
+@click.option("--port", default=20_000, help="Port of each member, at its own address.")
+@click.option("--seed", default=0)
+@click.option("--process", default=0, help="Which process under these names this is, from 0.")
+@click.option("--ports/--datagrams", default=False, help="Listen on ports and try those of others.")
+@click.option("--introduced/--unheard", default=False, help="Begin with everybody held alive.")
+def hollow(
+    size: int,
+    first: int,
+    count: int,
+    network: int,
+    port: int,
+    seed: int,
+    process: int,
+    ports: bool,
+    introduced: bool,
+) -> None:
+    """Members FIRST to FIRST+COUNT-1 of a fleet of SIZE, with no front end behind them.
+
+    Reads go, report, settle, stop from standard input, one a line; answers by a report as JSON.
+    """
+    from ..standin.hollow import FleetPlan, HollowFault
+    from ..standin.hollow_process import run_hollow
+
+    try:
+        plan = FleetPlan(size, network, port, seed)
+        run_hollow(plan, range(first, first + count), ports, process, introduced)
+    except HollowFault as fault:
+        raise click.UsageError(str(fault)) from fault
+
+
 VERBS = [standin]
--- /dev/null
+++ b/petrelway/standin/hollow.py
@@ -0,0 +1,282 @@
+"""Hollow members: many front ends' membership in one process, on loopback, with nothing behind it.
+
+A hollow member is the real shell (`FleetService`: real datagrams, the real `Members`) without a host, a client
+listener or requests. Others can't tell it from a front end. `hollow_process.py` runs a group of them as one
+process of a larger fleet; `benchmarks/capacity_members.py` measures with it.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import msgspec
+from twisted.internet import defer, interfaces, protocol, task
+
+from ..fleet.service import FleetService, Listed
+from ..fleet.words import NEWS_MOST, Kind, News, Start, State, Word, digest, write
+from ..interface import Part
+
+MEMBERS_BOUND = 2000  # hollow members in one process: two descriptors each, of the usual few thousand
+FLEET_BOUND = 60_000  # members of one fleet: one address each under 127.NETWORK.0.0/16
+FLEET_NAME = "hollow"
+FIRST_INCARNATION = 1  # of a process that heard of no earlier one under its name
+LAG_PERIOD_S = 0.1  # how often a process looks how late its own timers are
+
+
+class HollowFault(Exception):
+    """A fleet or a group of hollow members that can't be; the text says why in one line."""
+
+
+class FleetPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole fleet on loopback: member NUMBER (from 0) has an address of its own, and all have one port.
+
+    >>> FleetPlan(size=300, network=77, port=20_000).listed(299)
+    Listed(name='front-299', address='127.77.1.44', port=20000)
+    """
+
+    size: int
+    network: int  # second byte of each address
+    port: int
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.size <= FLEET_BOUND:
+            raise HollowFault(f"a fleet of {self.size} members; allowed: 1 to {FLEET_BOUND}")
+
+    def listed(self, number: int) -> Listed:
+        """The member's line of the list of peers."""
+        place = number + 1  # the first address of a network may be its broadcast
+        return Listed(f"front-{number}", f"127.{self.network}.{place >> 8}.{place & 255}", self.port)
+
+    def peers(self) -> list[Listed]:
+        """The list of peers, the same for each member."""
+        return [self.listed(number) for number in range(self.size)]
+
+    def token(self, number: int, process: int = 0) -> int:
+        """The token of the member's nth process, known in advance so that members can be introduced."""
+        return random.Random(f"{self.seed}/{number}/{process}/token").randrange(1, 1 << 32)
+
+    def chance(self, name: str) -> random.Random:
+        """The member's own jitter, from the same recipe as a front end's."""
+        return random.Random(f"{self.seed}/{name}/members")
+
+
+class Traffic(msgspec.Struct):
+    """What one or several members sent and received."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    dials: int = 0
+
+
+class CountedTransport:
+    """A UDP port that counts what is written to it."""
+
+    def __init__(self, transport: Any, traffic: Traffic) -> None:
+        self._transport = transport
+        self._traffic = traffic
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        self._traffic.sent_messages += 1
+        self._traffic.sent_bytes += len(data)
+        self._transport.write(data, address)
+
+
+class CountedDatagrams(protocol.DatagramProtocol):
+    """Counts what arrives and hands it to the shell's own protocol."""
+
+    noisy = False
+
+    def __init__(self, inner: protocol.DatagramProtocol, traffic: Traffic) -> None:
+        self._inner = inner
+        self._traffic = traffic
+
+    def startProtocol(self) -> None:
+        self._inner.makeConnection(CountedTransport(self.transport, self._traffic))
+
+    def stopProtocol(self) -> None:
+        self._inner.doStop()
+
+    def datagramReceived(self, data: bytes, address: tuple[str, int]) -> None:
+        self._traffic.received_messages += 1
+        self._traffic.received_bytes += len(data)
+        self._inner.datagramReceived(data, address)
+
+
+class CountedReactor:
+    """A reactor as the shell uses it, that counts datagrams and dials."""
+
+    def __init__(self, reactor: Any, traffic: Traffic) -> None:
+        self._reactor = reactor
+        self._traffic = traffic
+        self.seconds = reactor.seconds
+        self.callLater = reactor.callLater
+        self.listenTCP = reactor.listenTCP
+
+    def listenUDP(self, port: int, inner: protocol.DatagramProtocol, interface: str = "") -> Any:
+        return self._reactor.listenUDP(port, CountedDatagrams(inner, self._traffic), interface=interface)
+
+    def connectTCP(self, host: str, port: int, factory: protocol.ClientFactory, timeout: float) -> Any:
+        self._traffic.dials += 1
+        return self._reactor.connectTCP(host, port, factory, timeout=timeout)
+
+
+class SilentLog:
+    """A log that keeps nothing: what a hollow process would write is nobody's."""
+
+    def _drop(self, event: str, **what: Any) -> None:
+        pass
+
+    debug = info = warning = error = critical = _drop
+
+
+def ignore_part(part: Part) -> None:
+    """A front end's host would use its quota share; a hollow member has none to use."""
+
+
+def hollow_member(
+    reactor: interfaces.IReactorTime,
+    plan: FleetPlan,
+    number: int,
+    ports: bool,
+    process: int = 0,
+    peers: list[Listed] | None = None,
+) -> FleetService:
+    """The shell of one member, not yet started. With `ports` it listens on its port and tries those of others,
+    as under `petrelway serve`; without, datagrams alone, as under `petrelway node`. `peers` saves the list's
+    memory where many members share a process."""
+    me = plan.listed(number)
+    return FleetService(
+        reactor,
+        me,
+        FLEET_NAME,
+        peers if peers is not None else plan.peers(),
+        plan.token(number, process),
+        plan.chance(me.name),
+        SilentLog(),
+        ignore_part if ports else None,
+    )
+
+
+def introductions(plan: FleetPlan, sender: int, peers_digest: int) -> list[bytes]:
+    """The datagrams by which member `sender` tells that everybody is alive."""
+    news = [
+        News(digest(plan.listed(n).name), Start(FIRST_INCARNATION, plan.token(n)), State.ALIVE)
+        for n in range(plan.size)
+    ]
+    start = Start(FIRST_INCARNATION, plan.token(sender))
+    fleet, me = digest(FLEET_NAME), digest(plan.listed(sender).name)
+    return [
+        write(
+            Word(Kind.HERE, fleet, me, start, peers_digest, 0, 0, 0, tuple(news[first : first + NEWS_MOST]))
+        )
+        for first in range(0, len(news), NEWS_MOST)
+    ]
+
+
+class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How one process of hollow members stands."""
+
+    members: int
+    cpu_s: float  # of the process since its start, by its own clock
+    uptime_s: float  # since its members started
+    traffic: Traffic
+    pauses: int  # how often a member noticed that it had stood still
+    lag_ms: float  # how late a timer was at most since the last report; 0 in a process of one member
+    alive_least: int  # fewest others that one of these members holds alive
+    failed_least: int
+    failed_most: int
+    suspected_most: int
+    unheard_most: int
+    untold_most: int  # most members of which news is still being told
+
+
+class HollowGroup:
+    """The hollow members of one process."""
+
+    def __init__(
+        self, reactor: Any, plan: FleetPlan, numbers: range, ports: bool = False, process: int = 0
+    ) -> None:
+        """Raises HollowFault for more members than one process may hold, or one outside the fleet."""
+        if not 1 <= len(numbers) <= MEMBERS_BOUND:
+            raise HollowFault(f"{len(numbers)} hollow members in a process; allowed: 1 to {MEMBERS_BOUND}")
+        if numbers[0] < 0 or numbers[-1] >= plan.size:
+            raise HollowFault(
+                f"members {numbers[0]} to {numbers[-1]} of a fleet of {plan.size}; allowed: 0 to {plan.size - 1}"
+            )
+        self.plan = plan
+        self.traffic = Traffic()
+        self._reactor = reactor
+        self._lag_s = 0.0
+        self._due_s = 0.0
+        self._began_s = 0.0
+        self._lag_look = task.LoopingCall(self._look_at_lag)
+        self._lag_look.clock = reactor
+        peers = plan.peers()
+        counted = CountedReactor(reactor, self.traffic)
+        self.members = [hollow_member(counted, plan, n, ports, process, peers) for n in numbers]
+
+    def start(self, introduced: bool) -> None:
+        """Start all; `introduced`: each has heard that everybody is alive, so that the minutes of a whole
+        fleet's start need not be waited for. Raises twisted.internet.error.CannotListenError."""
+        self._began_s = self._reactor.seconds()
+        for member in self.members:
+            member.startService()
+        if introduced:
+            self._introduce()
+        if len(self.members) > 1:  # danger: in the process of a member under measurement it would be its CPU
+            self._due_s = self._reactor.seconds() + LAG_PERIOD_S
+            self._lag_look.start(LAG_PERIOD_S, now=False)
+
+    def _introduce(self) -> None:
+        if self.plan.size < 2:
+            return
+        same = self.members[0].members.peers
+        from_first = introductions(self.plan, 0, same)
+        first = self.plan.listed(0)
+        for member in self.members:
+            told, sender = from_first, first
+            if member.me.name == first.name:
+                told, sender = introductions(self.plan, 1, same), self.plan.listed(1)
+            for datagram in told:
+                member.datagrams.datagramReceived(datagram, (sender.address, sender.port))
+
+    def settle(self) -> None:
+        """Forget which news is still to be told, as it is once all has been told: for a fleet that starts as a
+        whole that takes about a second a member."""
+        for member in self.members:
+            member.members.told.clear()
+
+    def _look_at_lag(self) -> None:
+        now_s = self._reactor.seconds()
+        self._lag_s = max(self._lag_s, now_s - self._due_s)
+        self._due_s = now_s + LAG_PERIOD_S
+
+    def report(self) -> Report:
+        """How the members stand now; the lag starts anew."""
+        lag_s, self._lag_s = self._lag_s, 0.0
+        views = [member.members for member in self.members]
+        return Report(
+            members=len(views),
+            cpu_s=time.process_time(),
+            uptime_s=self._reactor.seconds() - self._began_s,
+            traffic=self.traffic,
+            pauses=sum(view.stalls for view in views),
+            lag_ms=lag_s * 1e3,
+            alive_least=min(len(view.by[State.ALIVE]) for view in views),
+            failed_least=min(len(view.by[State.FAILED]) for view in views),
+            failed_most=max(len(view.by[State.FAILED]) for view in views),
+            suspected_most=max(len(view.by[State.SUSPECTED]) for view in views),
+            unheard_most=max(len(view.by[State.UNHEARD]) for view in views),
+            untold_most=max(len(view.told) for view in views),
+        )
+
+    def stop(self) -> defer.Deferred:
+        """All leave in order."""
+        if self._lag_look.running:
+            self._lag_look.stop()
+        return defer.gatherResults([defer.maybeDeferred(member.stopService) for member in self.members])
