--- a/petrelway/standin/hollow.py
+++ b/petrelway/standin/hollow.py
@@ -1,8 +1,8 @@
 """Hollow members: many front ends' membership in one process, on loopback, with nothing behind it.
 
-A hollow member is the real shell (`FleetService`: real datagrams, the real `Members`) without a host, a client
-listener or requests. Others can't tell it from a front end. `hollow_process.py` runs a group of them as one
-process of a larger fleet; `benchmarks/capacity_members.py` measures with it.
+A hollow member is the real shell (`FleetService`: real datagrams, the real `Members`) without a host, a
+client listener or requests. Others can't tell it from a front end. `hollow_process.py` runs a group of them
+as one process of a larger fleet; `benchmarks/capacity_members.py` measures with it.
 """
 
 from __future__ import annotations
@@ -15,12 +15,14 @@
 from twisted.internet import defer, interfaces, protocol, task
 
 from ..fleet.service import FleetService, Listed
-from ..fleet.words import NEWS_MOST, Kind, News, Start, State, Word, digest, write
+from ..fleet.members import Members
+from ..fleet.words import NEWS_MOST, Kind, News, Start, State, digest, write
+from ..fleet.words import Word as Message
 from ..interface import Part
 
 MEMBERS_BOUND = 2000  # hollow members in one process: two descriptors each, of the usual few thousand
 FLEET_BOUND = 60_000  # members of one fleet: one address each under 127.NETWORK.0.0/16
-FLEET_NAME = "hollow"
+FLEET_NAME = "platform"  # as `petrelway node` calls the fleet that it is told of
 FIRST_INCARNATION = 1  # of a process that heard of no earlier one under its name
 LAG_PERIOD_S = 0.1  # how often a process looks how late its own timers are
 
@@ -33,7 +35,7 @@
     """A whole fleet on loopback: member NUMBER (from 0) has an address of its own, and all have one port.
 
     >>> FleetPlan(size=300, network=77, port=20_000).listed(299)
-    Listed(name='front-299', address='127.77.1.44', port=20000)
+    Listed(name='127.77.1.44:20000', address='127.77.1.44', port=20000)
     """
 
     size: int
@@ -46,9 +48,10 @@
             raise HollowFault(f"a fleet of {self.size} members; allowed: 1 to {FLEET_BOUND}")
 
     def listed(self, number: int) -> Listed:
-        """The member's line of the list of peers."""
+        """The member's line of the list of peers; its address is its name, as under `petrelway node`."""
         place = number + 1  # the first address of a network may be its broadcast
-        return Listed(f"front-{number}", f"127.{self.network}.{place >> 8}.{place & 255}", self.port)
+        address = f"127.{self.network}.{place >> 8}.{place & 255}"
+        return Listed(f"{address}:{self.port}", address, self.port)
 
     def peers(self) -> list[Listed]:
         """The list of peers, the same for each member."""
@@ -146,9 +149,9 @@
     process: int = 0,
     peers: list[Listed] | None = None,
 ) -> FleetService:
-    """The shell of one member, not yet started. With `ports` it listens on its port and tries those of others,
-    as under `petrelway serve`; without, datagrams alone, as under `petrelway node`. `peers` saves the list's
-    memory where many members share a process."""
+    """The shell of one member, not yet started. With `ports` it listens on its port and tries those of
+    others, as under `petrelway serve`; without, datagrams alone, as under `petrelway node`. `peers` saves the
+    list's memory where many members share a process."""
     me = plan.listed(number)
     return FleetService(
         reactor,
@@ -162,22 +165,44 @@
     )
 
 
-def introductions(plan: FleetPlan, sender: int, peers_digest: int) -> list[bytes]:
-    """The datagrams by which member `sender` tells that everybody is alive."""
-    news = [
-        News(digest(plan.listed(n).name), Start(FIRST_INCARNATION, plan.token(n)), State.ALIVE)
-        for n in range(plan.size)
-    ]
-    start = Start(FIRST_INCARNATION, plan.token(sender))
-    fleet, me = digest(FLEET_NAME), digest(plan.listed(sender).name)
+def introductions(
+    ids: list[int], starts: list[Start], sender: int, fleet: int, peers_digest: int
+) -> list[Message]:
+    """The messages by which member `sender` tells that everybody is alive; `ids` and `starts` by number."""
+    news = [News(id, start, State.ALIVE) for id, start in zip(ids, starts)]
     return [
-        write(
-            Word(Kind.HERE, fleet, me, start, peers_digest, 0, 0, 0, tuple(news[first : first + NEWS_MOST]))
+        Message(
+            Kind.HERE,
+            fleet,
+            ids[sender],
+            starts[sender],
+            peers_digest,
+            view=0,
+            number=0,
+            about=0,
+            news=tuple(news[first : first + NEWS_MOST]),
         )
         for first in range(0, len(news), NEWS_MOST)
     ]
 
 
+def introduction_datagrams(plan: FleetPlan, sender: int) -> list[bytes]:
+    """The same for the first processes of a fleet on loopback."""
+    ids = [digest(plan.listed(number).name) for number in range(plan.size)]
+    starts = [Start(FIRST_INCARNATION, plan.token(number)) for number in range(plan.size)]
+    peers_digest = digest(*map(str, sorted(ids)))
+    messages = introductions(ids, starts, sender, digest(FLEET_NAME), peers_digest)
+    return [write(message) for message in messages]
+
+
+def settle_view(members: Members) -> None:
+    """As if all news had been told, and everybody had been heard since: a fleet that starts as a whole comes
+    there by itself after about a second a member."""
+    members.told.clear()
+    for member in members.others.values():
+        member.view = members.view
+
+
 class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How one process of hollow members stands."""
 
@@ -193,6 +218,8 @@
     suspected_most: int
     unheard_most: int
     untold_most: int  # most members of which news is still being told
+    views: int  # different views among these members
+    view: int  # the digest of one of them
 
 
 class HollowGroup:
@@ -205,12 +232,12 @@
         if not 1 <= len(numbers) <= MEMBERS_BOUND:
             raise HollowFault(f"{len(numbers)} hollow members in a process; allowed: 1 to {MEMBERS_BOUND}")
         if numbers[0] < 0 or numbers[-1] >= plan.size:
-            raise HollowFault(
-                f"members {numbers[0]} to {numbers[-1]} of a fleet of {plan.size}; allowed: 0 to {plan.size - 1}"
-            )
+            found = f"members {numbers[0]} to {numbers[-1]} of a fleet of {plan.size}"
+            raise HollowFault(f"{found}; allowed: 0 to {plan.size - 1}")
         self.plan = plan
         self.traffic = Traffic()
         self._reactor = reactor
+        self._introduced_by: dict[int, list[bytes]] = {}  # of the two senders at most
         self._lag_s = 0.0
         self._due_s = 0.0
         self._began_s = 0.0
@@ -221,8 +248,8 @@
         self.members = [hollow_member(counted, plan, n, ports, process, peers) for n in numbers]
 
     def start(self, introduced: bool) -> None:
-        """Start all; `introduced`: each has heard that everybody is alive, so that the minutes of a whole
-        fleet's start need not be waited for. Raises twisted.internet.error.CannotListenError."""
+        """Start all; `introduced`: each has heard that everybody is alive, so that a whole fleet's start need
+        not be waited for. Raises twisted.internet.error.CannotListenError."""
         self._began_s = self._reactor.seconds()
         for member in self.members:
             member.startService()
@@ -235,21 +262,21 @@
     def _introduce(self) -> None:
         if self.plan.size < 2:
             return
-        same = self.members[0].members.peers
-        from_first = introductions(self.plan, 0, same)
-        first = self.plan.listed(0)
         for member in self.members:
-            told, sender = from_first, first
-            if member.me.name == first.name:
-                told, sender = introductions(self.plan, 1, same), self.plan.listed(1)
-            for datagram in told:
-                member.datagrams.datagramReceived(datagram, (sender.address, sender.port))
+            sender = 0 if member.me.name != self.plan.listed(0).name else 1
+            address = self.plan.listed(sender).address, self.plan.port
+            for datagram in self._introductions(sender):
+                member.datagrams.datagramReceived(datagram, address)
+
+    def _introductions(self, sender: int) -> list[bytes]:
+        if sender not in self._introduced_by:
+            self._introduced_by[sender] = introduction_datagrams(self.plan, sender)
+        return self._introduced_by[sender]
 
     def settle(self) -> None:
-        """Forget which news is still to be told, as it is once all has been told: for a fleet that starts as a
-        whole that takes about a second a member."""
+        """As if all news had been told, and everybody had been heard since."""
         for member in self.members:
-            member.members.told.clear()
+            settle_view(member.members)
 
     def _look_at_lag(self) -> None:
         now_s = self._reactor.seconds()
@@ -273,6 +300,8 @@
             suspected_most=max(len(view.by[State.SUSPECTED]) for view in views),
             unheard_most=max(len(view.by[State.UNHEARD]) for view in views),
             untold_most=max(len(view.told) for view in views),
+            views=len({view.view for view in views}),
+            view=views[0].view,
         )
 
     def stop(self) -> defer.Deferred:
--- a/petrelway/standin/hollow_process.py
+++ b/petrelway/standin/hollow_process.py
@@ -1,8 +1,8 @@
 """One process of hollow members, driven over its standard input and output.
 
-The process binds its sockets and introduces its members first, writes a report, and stands still until it reads
-`go`: so that all processes of a fleet begin together. Then each line that it reads is answered by one report as
-a line of JSON. It ends at `stop`, or when its input ends.
+The process binds its sockets and introduces its members first, writes a report, and stands still until it
+reads `go`: so that all processes of a fleet begin together. Then each line that it reads is answered by one
+report as a line of JSON. It ends at `stop`, or when its input ends.
 """
 
 from __future__ import annotations
