--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,9 @@
 """Slopes of what grows with the fleet, measured and written to the file that `petrelway capacity` reads.
 
     front-end       by executors listed, functions known, functions first seen a second, calls a second
-    members         by members: real shells, hollow members many to a process, on loopback; emulated beyond
+    members         by members: real shells, hollow members many to a process, on loopback
+    members-ports   the same where ports are listened on and tried
+    members-emulated  the same in simulated time
     changes         by changes of policy: members, a burst, one member silent
     --dry           print only, write nothing
     --quick         smaller sizes, a look: nothing is written
@@ -23,6 +25,8 @@
 GROUPS = {
     "front-end": "capacity_front_end",
     "members": "capacity_members",
+    "members-ports": "capacity_members_ports",
+    "members-emulated": "capacity_members_emulated",
     "changes": "capacity_changes",
 }
 
