--- a/benchmarks/capacity_ranking.py
+++ b/benchmarks/capacity_ranking.py
@@ -23,7 +23,7 @@
 from capacity_front_end_rig import DEADLINE_MS, START_MS, new_front_end
 from emulator import tree
 
-from petrelway import ranking
+from petrelway import choice_state, ranking
 from petrelway.choice import FrontEnd, Function
 from petrelway.emulator.day import EmulatedDay
 from petrelway.interface import Listing, Stage, Verb
@@ -100,6 +100,17 @@
         ranking.shared_rank = usual
 
 
+@contextmanager
+def hashes_of(seed: int) -> Iterator[None]:
+    """Names hash anew for each seed: else all days would measure the luck of one placement."""
+    usual = choice_state.salt_of
+    choice_state.salt_of = lambda stable: usual(f"{seed}/{stable}")
+    try:
+        yield
+    finally:
+        choice_state.salt_of = usual
+
+
 def listed(executors: int) -> FrontEnd:
     front_end = new_front_end()
     lines = [
@@ -211,7 +222,7 @@
 
 def play(job: tuple[DaySize, str, int]) -> DayFound:
     size, mode, seed = job
-    with window_of(WIDTH_OF[mode]):
+    with window_of(WIDTH_OF[mode]), hashes_of(seed):
         played = EmulatedDay(rare_calls(size, seed))
         lines = played.play()
     found = sums(lines, played.day)
@@ -262,7 +273,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("what", nargs="+", choices=["first-call", "width", "day"])
     parser.add_argument("--sizes", type=int, nargs="+", default=[size.front_ends for size in DAY_SIZES])
-    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
+    parser.add_argument("--seeds", type=int, nargs="+", default=list(range(1, 7)))
     parser.add_argument("--processes", type=int, default=2)
     asked = parser.parse_args()
     if "first-call" in asked.what:
