--- a/petrelway/standin/hollow_process.py
+++ b/petrelway/standin/hollow_process.py
@@ -39,6 +39,7 @@
     def __init__(self, reactor, group: HollowGroup) -> None:
         self._reactor = reactor
         self._group = group
+        self._ended = False
 
     def lineReceived(self, line: bytes) -> None:
         command = Command(line.decode())
@@ -53,7 +54,8 @@
         self._end()
 
     def _end(self) -> None:
-        if self._reactor.running:
+        if not self._ended:  # danger: after `stop` the end of the input comes too, and a reactor stops once
+            self._ended = True
             self._reactor.stop()
 
 
