The line after a lost rack of a small fleet is not carried on to a budget

Change: the emulated line, with sizes at which the rack is whole, is held to the budget; the measured one stands beside it without a limit.

--- a/petrelway/capacity/membership.py
+++ b/petrelway/capacity/membership.py
@@ -30,6 +30,9 @@
     "rack_bytes_by_members": "rack_messages_by_members",
 }
 EMULATED_GROUP = "members_emulated"
+# Danger: the rig's lost rack is smaller in a small fleet, so that these costs bend: the measured line, through
+# small fleets, may not be carried on to a budget. The emulated one has sizes where the rack is whole.
+RACK_OF_THE_RIG = frozenset({"rack_bytes_by_members", "rack_messages_by_members"})
 
 
 def _ceiling(group: str, slope: str) -> Ceiling | None:
@@ -94,8 +97,9 @@
         ("parted_cpu_by_members", parted, "CPU of membership", "us/s", CONTROL_CPU, CUT),
         ("cpu_alone_by_members", parted, "CPU of membership, nobody heard", "us/s", CONTROL_CPU, CUT),
     )
+    bends = RACK_OF_THE_RIG if group == MEASURED_GROUP else frozenset()
     return {
-        slope: entry(situation, quantity, slope, unit, limit, by)
+        slope: entry(situation, quantity, slope, unit, None if slope in bends else limit, by)
         for slope, situation, quantity, unit, limit, by in entries
     }
 
