--- a/petrelway/capacity/membership.py
+++ b/petrelway/capacity/membership.py
@@ -30,7 +30,7 @@
     "rack_bytes_by_members": "rack_messages_by_members",
 }
 EMULATED_GROUP = "members_emulated"
-# Danger: the rig's lost rack is smaller in a small fleet, so that these costs bend: the measured line, through
+# Danger: the rig's lost rack is smaller in a small fleet, so that these costs bend: the measured line, of
 # small fleets, may not be carried on to a budget. The emulated one has sizes where the rack is whole.
 RACK_OF_THE_RIG = frozenset({"rack_bytes_by_members", "rack_messages_by_members"})
 
