--- a/petrelway/capacity/front_end.py
+++ b/petrelway/capacity/front_end.py
@@ -26,7 +26,7 @@
 EVENTS_A_SECOND = 1.0  # the event bus says something each second, if only that nothing is new
 WHOLE_LIST = "the whole list of executors at each front end"
 LIST_EVENTS = "event bus, one record a change"
-RANKING = "all executors by rank, kept for each function known"
+RANKING = "an arc of the hash ring, ranked for each function known"
 FORGETTING = f"functions forgotten after {FORGET_S:g} s without a call"
 OWN_CALLS = "own calls alone"
 LINKS = "a link for each executor listed"
