--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,7 +1,10 @@
 """The program as `run` starts it, and a client with plain sockets, for tests on loopback."""
 
+import contextlib
+import copy
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -9,7 +12,10 @@
 import tomllib
 from pathlib import Path
 
+from petrelway.standin.platform import SETTINGS, Bus, configuration
+
 ROOT = Path(__file__).parent.parent
+SYN_SENT = "02"
 WAIT_S = 30.0  # for what must come; no test says how fast
 
 
@@ -68,8 +74,8 @@
     )
 
 
-def start(path, before=""):
-    env = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_NAME": "n0"}
+def start(path, before="", more=()):
+    env = {**os.environ, "RELAY_CONFIG": str(path), "RELAY_NAME": "n0", **dict(more)}
     return subprocess.Popen(
         ["/bin/sh", "-c", before + command()],
         cwd=ROOT,
@@ -78,3 +84,77 @@
         stderr=subprocess.STDOUT,
         start_new_session=True,
     )
+
+
+def settings(limits=None, classes=None):
+    """The stand-ins' deployment with other limits, and other figures of its classes by name."""
+    told = copy.deepcopy(SETTINGS)
+    told["limits"].update(limits or {})
+    for each in told["classes"]:
+        each.update((classes or {}).get(each["name"], {}))
+    return told
+
+
+class Node:
+    """One front end, its bus and executors; `close` ends all, so that all that was written has arrived."""
+
+    def __init__(self, path, executors, known=None, sockets=256, before="", failing=None, **changes):
+        """`before`: of the shell, ahead of the command; `failing`: its system calls, as FailingCalls."""
+        self.executors, self.bus = executors, Bus()
+        self.address, self.path = spare(), path / "config.json"
+        self.config = {
+            "executors": tuple((n, executors[n - 1].port) for n in known or (1,)),
+            "sockets": sockets,
+            "settings": settings(**changes),
+        }
+        self.write(self.bus)
+        self.said = b""
+        self.process = start(self.path, before, failing.environment() if failing else {})
+        until(lambda: serving(self.address))
+
+    def write(self, bus, **changes):
+        self.path.write_bytes(configuration(self.address, bus.address, **{**self.config, **changes}))
+
+    def client(self):
+        return Client(self.address)
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stopped(self):
+        """It stands still, as in a long stall."""
+        self.signal(signal.SIGSTOP)
+        stat = Path(f"/proc/{self.process.pid}/stat")
+        until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T")
+
+    def dialling(self, executor):
+        """Its connection to the executor is asked for and not up."""
+        host, port = "0100007F", f"{executor.port:04X}"
+        rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        return any(row[2] == f"{host}:{port}" and row[3] == SYN_SENT for row in rows)
+
+    def events(self, ended=True):
+        """What it logged; ends it."""
+        if self.process.poll() is None:
+            self.signal(signal.SIGCONT)
+            if ended:
+                self.signal(signal.SIGTERM)
+        said, _ = self.process.communicate(timeout=WAIT_S)
+        return [json.loads(line) for line in said.splitlines()]
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.communicate()
+        for standin in (self.bus, *self.executors):
+            standin.close()
+
+
+def node(*args, **more):
+    return contextlib.closing(Node(*args, **more))
+
+
+def check(client, number=1 << 40):
+    """Whatever it wrote before has been read when this is answered."""
+    client.say(b'{"jsonrpc":"2.0","id":%d,"method":"check"}\n' % number)
+    return client.hear()["result"]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,85 +16,11 @@
 from pathlib import Path
 
 import pytest
-from nodes import ROOT, WAIT_S, Client, serving, spare, start, until
+from nodes import ROOT, WAIT_S, Client, check, node, serving, settings, spare, start, until
 
 from petrelway.standin.platform import SETTINGS, Bus, Executor, Holder, Late, configuration, record, request
 
 A, B, C = (f"{n:016x}" for n in (1, 2, 3))
-SYN_SENT = "02"
-
-
-def settings(limits=None, classes=None):
-    """The stand-ins' deployment with other limits, and other figures of its classes by name."""
-    told = copy.deepcopy(SETTINGS)
-    told["limits"].update(limits or {})
-    for each in told["classes"]:
-        each.update((classes or {}).get(each["name"], {}))
-    return told
-
-
-class Node:
-    """One front end, its bus and executors; `close` ends all, so that all that was written has arrived."""
-
-    def __init__(self, path, executors, known=None, sockets=256, before="", **changes):
-        self.executors, self.bus = executors, Bus()
-        self.address, self.path = spare(), path / "config.json"
-        self.config = {
-            "executors": tuple((n, executors[n - 1].port) for n in known or (1,)),
-            "sockets": sockets,
-            "settings": settings(**changes),
-        }
-        self.write(self.bus)
-        self.said = b""
-        self.process = start(self.path, before)
-        until(lambda: serving(self.address))
-
-    def write(self, bus, **changes):
-        self.path.write_bytes(configuration(self.address, bus.address, **{**self.config, **changes}))
-
-    def client(self):
-        return Client(self.address)
-
-    def signal(self, number):
-        self.process.send_signal(number)
-
-    def stopped(self):
-        """It stands still, as in a long stall."""
-        self.signal(signal.SIGSTOP)
-        stat = Path(f"/proc/{self.process.pid}/stat")
-        until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T")
-
-    def dialling(self, executor):
-        """Its connection to the executor is asked for and not up."""
-        host, port = "0100007F", f"{executor.port:04X}"
-        rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-        return any(row[2] == f"{host}:{port}" and row[3] == SYN_SENT for row in rows)
-
-    def events(self, ended=True):
-        """What it logged; ends it."""
-        if self.process.poll() is None:
-            self.signal(signal.SIGCONT)
-            if ended:
-                self.signal(signal.SIGTERM)
-        said, _ = self.process.communicate(timeout=WAIT_S)
-        return [json.loads(line) for line in said.splitlines()]
-
-    def close(self):
-        if self.process.poll() is None:
-            self.process.kill()
-            self.process.communicate()
-        for standin in (self.bus, *self.executors):
-            standin.close()
-
-
-def node(*args, **more):
-    return contextlib.closing(Node(*args, **more))
-
-
-def check(client, number=1 << 40):
-    """Whatever it wrote before has been read when this is answered."""
-    client.say(b'{"jsonrpc":"2.0","id":%d,"method":"check"}\n' % number)
-    return client.hear()["result"]
 
 
 def leaves(client, how):
