One clock for every process; what is told in Unix time is translated where it comes in

The module has one guard where time enters (forward_clock.py). Processes of a rehearsal or load share one scale. The old test of FrontEndService.watch_clock gave way to ones of the host, which is now the one place for node and serve; a test of the part told times before the module's start, which a clock that goes forward never does: it tells them after.

--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 
 from .choice_state import Deadlines, Executor, Fleet, FrontEndState, FunctionState, Transmission, Trigger
+from .forward_clock import ForwardClock
 from .hash_ring import RingWindow
 from .interface import (
     NEVER_RAN,
@@ -242,6 +243,7 @@
         ration: LoadRation,
     ) -> None:
         super().__init__(now)
+        self.clock = ForwardClock(now, TIDY_MS)
         self.chance = random.Random(seed)
         self.tariffs, self.permits, self.keeping = tariffs, permits, keeping
         self.gate = Gate(
@@ -254,8 +256,10 @@
         heapq.heappush(self.due, (now + TIDY_MS * self.chance.random(), -1))
 
     def executors_listed(self, now: float, listings: Iterable[Listing], complete: bool) -> None:
+        now = self.clock.enter(now)
         named = set()
-        for listing in listings:
+        for told in listings:
+            listing = told._replace(started_ms=self._started(told.started_ms))
             named.add(listing.executor)
             e = self.executors.get(listing.executor)
             if e is None:
@@ -275,6 +279,7 @@
         self, now: float, function: int, stable: str, memory_mb: float, lanes: int, load_ms: float
     ) -> None:
         """Once for each index, before the function's first trigger."""
+        now = self.clock.enter(now)
         self.functions[function] = Function(function, stable, lanes, load_ms, now)
 
     def trigger_taken(
@@ -288,6 +293,7 @@
         work_ms: float,
         repeat: bool,
     ) -> None:
+        now = self.clock.enter(now)
         f = self.functions[function]
         size = work_ms or f.mean_ms or self.mean_ms
         self.mean_size += 0.02 * (size - self.mean_size)
@@ -317,6 +323,7 @@
         finished: bool,
         warmth: Warmth,
     ) -> None:
+        now = self.clock.enter(now)
         t = self.triggers.get(trigger)
         sent = t.out.pop(number, None) if t else None
         if t is None or sent is None:
@@ -422,6 +429,7 @@
     def order_answered(
         self, now: float, executor: int, function: int, outcome: Outcome, copies: int, took_ms: float
     ) -> None:
+        now = self.clock.enter(now)
         self.under_way.pop((executor, function), None)
         e, f = self.executors.get(executor), self.functions.get(function)
         if e is None or f is None:
@@ -446,6 +454,7 @@
             self.loads += LOADS_GROW / self.loads
 
     def client_gone(self, now: float, trigger: int) -> None:
+        self.clock.enter(now)
         if t := self.triggers.get(trigger):
             t.answered = True
             if t.taken_ms in self.gate.taken:  # danger: hundreds taken back at once would earn orders to load
@@ -457,13 +466,24 @@
     ) -> None:
         """What is taken from now on goes by these; a trigger keeps the terms that it was taken under."""
         self.tariffs, self.permits = tariffs, permits
-        self.gate.rate_told(now, sum(c.rate for c in customers) / 1000.0)
+        self.gate.rate_told(self.clock.enter(now), sum(c.rate for c in customers) / 1000.0)
 
     def part_told(self, now: float, part: Part) -> None:
-        self.gate.part = part
+        self.clock.enter(now)
+        self.gate.part = Part(part.share, self.clock.place(part.until_ms))
+
+    def start_told(self, now: float, executor: int, started_ms: float) -> None:
+        """The same process of an executor started at another time than was told before."""
+        self.clock.enter(now)
+        if e := self.executors.get(executor):
+            e.listing = e.listing._replace(started_ms=self._started(started_ms))
+
+    def _started(self, started_ms: float) -> float:
+        return self.clock.place(started_ms) if started_ms else 0.0
 
     def may_go(self, now: float, trigger: int, number: int) -> bool:
         """Whether what has waited for its connection may still go out, after all that has changed since."""
+        now = self.clock.enter(now)
         t = self.triggers.get(trigger)
         if t is None or number not in t.out:
             return False
@@ -479,11 +499,12 @@
         return may
 
     def time_passed(self, now: float) -> None:
-        self._untimely(now)
+        self._untimely(self.clock.enter(now))
         self.wake_ms = math.inf
 
     def decide(self, now: float) -> Decision | None:
         """The next thing to do, or None."""
+        now = self.clock.enter(now)
         while self.due and self.due[0][0] <= now:
             _, trigger = heapq.heappop(self.due)
             if trigger >= 0:
@@ -508,7 +529,7 @@
         if not self.due or self.due[0][0] >= self.wake_ms:
             return None
         self.wake_ms = self.due[0][0]
-        return Decision(Verb.WAKE, ms=self.wake_ms)
+        return Decision(Verb.WAKE, ms=self.clock.leave(self.wake_ms))
 
     def failed(self) -> int:
         """After decide raised: the trigger it was at, for which no more is decided but to withdraw; or -1.
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -49,18 +49,17 @@
 def serve(file: str, policy: str, meter: bool, record: str | None, epoch_ms: float) -> None:
     """Run a front end with the settings FILE until SIGTERM or SIGINT; what is owed is answered first."""
     found = read_or_exit(read_front_end, file)
-    from twisted.internet import error, reactor
+    from twisted.internet import error
 
+    from ..clock import process_clock, steady_reactor
     from ..daemon.service import Daemon
     from ..front.collecting import settle
     from ..front.service import FrontEndService
     from ..policy.store import StoreFault
     from ..rehearsal.baselines import POLICIES
     from ..standin.records import Record
-    from ..steady import steady
 
-    # danger: a step back of the system's clock would stop every timer, and keep what has an end
-    reactor.seconds = steady()
+    reactor = steady_reactor()
     wanted = found["log"]
     try:
         log, lines = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
@@ -75,10 +74,15 @@
     meter_s = time.perf_counter if meter else None
     written = Record(record, reactor, epoch_ms, 0) if record else None
     note = written.note if written else None
+    unix_ahead_s = process_clock().unix_ahead_s
     if policy == "pass-through":
-        front = FrontEndService(reactor, found, log, POLICIES[policy], meter_s, note=note)
+        front = FrontEndService(
+            reactor, found, log, POLICIES[policy], meter_s, note=note, unix_ahead_s=unix_ahead_s
+        )
     else:
-        front = Daemon(reactor, found, log, POLICIES[policy], meter_s, lines=lines, note=note)
+        front = Daemon(
+            reactor, found, log, POLICIES[policy], meter_s, lines=lines, note=note, unix_ahead_s=unix_ahead_s
+        )
     try:
         front.startService()
     except ValueError as problem:
@@ -93,7 +97,6 @@
             f"{file}: {section}.port: found {problem.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free port"
         ) from problem
-    front.watch_clock(time.time)
     settle()
     reactor.addSystemEventTrigger("before", "shutdown", front.stopService)
     reactor.addSystemEventTrigger("after", "shutdown", lines.finish)
--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -38,11 +38,14 @@
         return front.stopService()
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends the process; the file is read below
-    from twisted.internet import error, reactor
+    from twisted.internet import error
 
+    from ..clock import process_clock, steady_reactor
     from ..front.collecting import settle
     from ..node.service import NodeService
 
+    reactor = steady_reactor()
+
     def read() -> bytes:
         with open(file, "rb") as source:
             return source.read()
@@ -56,7 +59,7 @@
     except (PlatformFault, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=told.name)
-    front = NodeService(reactor, told, read, log, peers=peers)
+    front = NodeService(reactor, told, read, log, peers=peers, unix_ahead_s=process_clock().unix_ahead_s)
     try:
         front.startService()
     except PlatformFault as fault:
--- a/petrelway/commands/rehearsals.py
+++ b/petrelway/commands/rehearsals.py
@@ -49,8 +49,7 @@
 @click.option("--seed", type=int, help="Another seed than the day's.")
 def rehearse(day, bench_day, scale, as_json, record, policy, consoles, seed) -> None:
     """Start everything on loopback, play DAY (Jsonnet), check the five rules. Exit 1 if one is broken."""
-    from twisted.internet import reactor
-
+    from ..clock import share_scale, steady_reactor
     from ..rehearsal.benchday import convert
     from ..rehearsal.conductor import Conductor, PartFailed, Ports, write_plan
     from ..rehearsal.realworkers import PLAYED, unplayable
@@ -58,6 +57,8 @@
     from ..rehearsal.report import report, text
     from ..standin.script import write
 
+    reactor = steady_reactor()
+    share_scale()
     if (day is None) == (bench_day is None):
         raise click.UsageError("give a DAY or a --bench-day, one of them")
     if bench_day is not None:
--- a/petrelway/commands/standins.py
+++ b/petrelway/commands/standins.py
@@ -15,10 +15,10 @@
 
 
 def _run(play, folder: str, *numbers: int) -> None:
-    from twisted.internet import reactor
-
+    from ..clock import steady_reactor
     from ..standin.parts import Plan
 
+    reactor = steady_reactor()
     failed = []
 
     def begin() -> None:
--- a/petrelway/commands/workers.py
+++ b/petrelway/commands/workers.py
@@ -27,13 +27,15 @@
 def serve_worker(file: str, record: str | None, epoch_ms: float, process: str) -> None:
     """Run a worker with the settings FILE until SIGTERM; what runs is finished first."""
     found = read_or_exit(read_worker, file)
-    from twisted.internet import error, reactor
+    from twisted.internet import error
 
+    from ..clock import steady_reactor
     from ..worker.desk import Desk
     from ..worker.fetching import Store
     from ..worker.images import Images
     from ..worker.serving import Worker
 
+    reactor = steady_reactor()
     place, listen, wanted = found["worker"], found["listen"], found["log"]
     loads, calls, copies = found["loads"], found["calls"], found["copies"]
     log, _ = logs.start(wanted.form, wanted.level, wanted.file, worker=place.name)
@@ -119,11 +121,11 @@
 )
 def serve_store(folder: str, port: int, takes: int, limit: int, fetch_ms: float) -> None:
     """Serve the packages (*.tar) in FOLDER by name and digest on loopback."""
-    from twisted.internet import reactor
-
+    from ..clock import steady_reactor
     from ..standin.packages import Shelf, site
     from ..worker.package import PackageFault
 
+    reactor = steady_reactor()
     shelf = Shelf(reactor, takes, limit, fetch_ms)
     try:
         shelf.put_all(Path(folder))
--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -39,8 +39,9 @@
         spent: Callable[[], float] = time.perf_counter,
         lines: Lines | None = None,
         note: Callable[..., Any] | None = None,
+        unix_ahead_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        super().__init__(reactor, found, log, kind, meter, process, note)
+        super().__init__(reactor, found, log, kind, meter, process, note, unix_ahead_s)
         self.name = found["front_end"].name
         self.spent, self.lines = spent, lines
         self.console: Console | None = None
--- a/petrelway/emulator/links.py
+++ b/petrelway/emulator/links.py
@@ -261,7 +261,7 @@
             self.port = port
             self.hang_up()
 
-    def restarted(self, started_ms: float) -> None:
+    def restarted(self, unix_ms: float, started_ms: float) -> None:
         if self.wire is not None and self.wire.started_ms < started_ms - 1.0:
             self.hang_up()
 
--- /dev/null
+++ b/petrelway/forward_clock.py
@@ -0,0 +1,42 @@
+"""The module's guard against a host whose clock goes back: where time enters the decisions, and leaves them.
+
+Decayed sums divide by spans, and windows are compared with `now`: a time that goes back would raise, or open
+a window again that is over. A step back is taken out here, once. How long before it the host looked last is
+not known, but it looks at least each `gap_ms`: so much is taken to have passed, so that no deadline or window
+is kept for longer than it is.
+"""
+
+from __future__ import annotations
+
+
+class ForwardClock:
+    """The host's time as the decisions see it, in ms: never earlier than what they saw before.
+
+    >>> clock = ForwardClock(100.0, gap_ms=10.0)
+    >>> clock.enter(150.0), clock.enter(50.0), clock.enter(70.0), clock.leave(190.0)
+    (150.0, 160.0, 180.0, 80.0)
+    """
+
+    __slots__ = ("_ahead_ms", "_gap_ms", "_latest_ms")
+
+    def __init__(self, now: float, gap_ms: float) -> None:
+        self._gap_ms = gap_ms
+        self._latest_ms = now
+        self._ahead_ms = 0.0
+
+    def enter(self, now: float) -> float:
+        """The present, from the host's."""
+        at = now + self._ahead_ms
+        if at < self._latest_ms:
+            at, before = self._latest_ms + self._gap_ms, at
+            self._ahead_ms += at - before
+        self._latest_ms = at
+        return at
+
+    def place(self, at: float) -> float:
+        """A time before or after now, from the host's."""
+        return at + self._ahead_ms
+
+    def leave(self, at: float) -> float:
+        """A time, for the host."""
+        return at - self._ahead_ms
--- a/petrelway/front/host.py
+++ b/petrelway/front/host.py
@@ -18,6 +18,7 @@
 from ..indices import Ids
 from ..interface import Customer, Decision, Listing, Outcome, Permits, Stage, Tariff, Verb, Warmth
 from ..listing import Line
+from ..start_times import StartTimes
 from ..wire import codec
 from .links import Link
 from .proof import Key
@@ -123,8 +124,11 @@
         log,
         meter: Callable[[], float] | None = None,
         link: Callable[..., Link] = Link,
+        unix_ahead_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """`link` makes the link to an executor, with Link's own arguments; another one in an emulation."""
+        """`link` makes the link to an executor, with Link's own arguments; another one in an emulation.
+        `unix_ahead_s`: how far the wall clock has been stepped ahead of `clock`."""
+        self.unix_ahead_s, self.starts = unix_ahead_s, StartTimes()
         self.link = link
         self.clock, self.front_end, self.name, self.process = clock, front_end, name, process
         self.tariffs, self.customers = tariffs, customers
@@ -208,13 +212,15 @@
 
     def executors_listed(self, lines: list[Line], complete: bool) -> None:
         """The roster's word. A link is made for each executor that it names."""
+        self.look_at_wall_clock()
         now, listings = self.now(), []
         for line in lines:
             if line.stage == "gone" and line.executor not in self.executors.index:
                 continue
             index, new = self.executors.enter(line.executor)
+            started_ms = self.starts.own_ms(now, line.executor, line.started_ms)
             if self.watch is not None:
-                self._note_change(now, index, line)
+                self._note_change(now, index, line, started_ms)
             listings.append(
                 Listing(
                     index,
@@ -224,7 +230,7 @@
                     line.cell,
                     STAGES[line.stage],
                     line.weight,
-                    line.started_ms,
+                    started_ms,
                 )
             )
             if new:
@@ -243,17 +249,28 @@
                 )
             else:
                 self.links[index].moved(line.address, line.port)
-                self.links[index].restarted(line.started_ms)
+                self.links[index].restarted(line.started_ms, started_ms)
         self.front_end.executors_listed(now, listings, complete)
         self._soon()
 
-    def _note_change(self, now: float, index: int, line: Line) -> None:
+    def look_at_wall_clock(self) -> None:
+        """After a step of it the start times that the list told mean other moments."""
+        ahead_s = self.unix_ahead_s()
+        if not self.starts.unix_ahead(ahead_s * 1e3):
+            return
+        self.counts["wall clock stepped"] += 1
+        self.log.warning("wall clock stepped", ahead_s=round(ahead_s, 3))
+        now = self.now()
+        for executor, started_ms in self.starts.all_own_ms().items():
+            self.front_end.start_told(now, self.executors.index[executor], started_ms)
+
+    def _note_change(self, now: float, index: int, line: Line, started_ms: float) -> None:
         known = self.front_end.executors.get(index)
         if known is None:
             self.watch.changed(now, "executor listed", f"{line.executor} {line.stage} in {line.hall}")
         elif known.listing.stage is not STAGES[line.stage]:
             self.watch.changed(now, f"executor {line.stage}", line.executor)
-        elif line.started_ms > known.listing.started_ms:
+        elif started_ms > known.listing.started_ms:
             self.watch.changed(now, "executor restarted", line.executor)
 
     def transmission_ended(
@@ -368,6 +385,7 @@
             if self.watch is not None:
                 self.watch.released(t.serial)
         for index in free.executors:
+            self.starts.forget(self.executors.wire[index])
             self.links.pop(index).close()
         for index in free.functions:
             del self.known[index]
--- a/petrelway/front/links.py
+++ b/petrelway/front/links.py
@@ -183,9 +183,9 @@
             if self.wire is not None:
                 self.wire.transport.abortConnection()
 
-    def restarted(self, started_ms: float) -> None:
+    def restarted(self, unix_ms: float, started_ms: float) -> None:
         """The roster names a process started then; a link to an older one is half open and cannot answer."""
-        if self.wire is not None and self.ready and self.started_ms < started_ms - 1.0:
+        if self.wire is not None and self.ready and self.started_ms < unix_ms - 1.0:
             self.reason = "the roster names a later process"
             self.wire.transport.abortConnection()
 
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -20,7 +20,7 @@
 from .intake import Intake
 from .roster import Follower
 
-CLOCK_LOOK_S, STEP_S = 10.0, 1.0  # the system's clock is looked at this often for steps larger than this
+CLOCK_LOOK_S = 1.0  # the wall clock is looked at this often
 LEAVE_SLACK_MS = 500.0  # what is owed is waited for this long past the longest outer limit
 
 
@@ -76,11 +76,13 @@
         meter: Callable[[], float] | None = None,
         process: str = "",
         note: Callable[..., Any] | None = None,
+        unix_ahead_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """`note` writes a rehearsal's record of what the fleet's members held and used."""
+        """`note` writes a rehearsal's record of what the fleet's members held and used; `unix_ahead_s`: how
+        far the wall clock has been stepped ahead of the reactor's."""
         self.reactor, self.found, self.log, self.kind, self.meter = reactor, found, log, kind, meter
         self.note, self.fleet, self.policy = note, None, None
-        self.ahead_s: float | None = None  # the system's clock before this process's own
+        self.unix_ahead_s = unix_ahead_s
         self.clock_watch = None
         self.process = process or uuid.uuid4().hex[:12]
         self.port: interfaces.IListeningPort | None = None
@@ -106,6 +108,7 @@
             chance,
             self.log,
             self.meter,
+            unix_ahead_s=self.unix_ahead_s,
         )
         if "peers" in found:
             self._join(found["peers"], place.name)
@@ -127,6 +130,7 @@
             self.log,
         )
         super().startService()
+        self._watch_clock()
         self.log.info(
             "front end started", address=listen.address, port=self.port.getHost().port, process=process
         )
@@ -190,15 +194,9 @@
         )
         self.intake.asks = made.asks
 
-    def watch_clock(self, wall: Callable[[], float]) -> None:
-        """Say it when the system's clock was stepped. Danger: this process's own never steps, and start times
-        of executors, which the list tells by the system's, are off by as much until it starts again."""
-        ahead_s = wall() - self.reactor.seconds()
-        if self.ahead_s is not None and abs(ahead_s - self.ahead_s) > STEP_S:
-            self.log.warning("system's clock stepped", by_s=round(ahead_s - self.ahead_s, 3))
-        if self.ahead_s is None or abs(ahead_s - self.ahead_s) > STEP_S:
-            self.ahead_s = ahead_s
-        self.clock_watch = self.reactor.callLater(CLOCK_LOOK_S, self.watch_clock, wall)
+    def _watch_clock(self) -> None:
+        self.host.look_at_wall_clock()
+        self.clock_watch = self.reactor.callLater(CLOCK_LOOK_S, self._watch_clock)
 
     def _take(self, ask: Ask, content_type: str, body: bytes) -> defer.Deferred[Answer]:
         if self.policy is not None and self.note is not None:
--- a/petrelway/load/running.py
+++ b/petrelway/load/running.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import multiprocessing
-import time
 from collections import Counter
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
+from ..clock import process_clock, share_scale
 from .plan import LoadPlan, read_load
 from .sender import MOST_MS, Sender, histogram
 
@@ -22,8 +22,9 @@
 
 def _play(file: str, number: int, port: int, epoch: float, pipe) -> None:
     """One process."""
-    from twisted.internet import reactor
+    from ..clock import steady_reactor
 
+    reactor = steady_reactor()
     try:
         plan = read_load(file)
         sender = Sender(
@@ -93,7 +94,8 @@
 def play(file: str, plan: LoadPlan, port: int) -> dict[str, Any]:
     """Play the load against a port of this machine. Raises LoadFailed."""
     context = multiprocessing.get_context("spawn")
-    epoch = time.time() + LEAD_S
+    share_scale()
+    epoch = process_clock().seconds() + LEAD_S
     running = []
     for number in range(plan.how.processes):
         here, there = context.Pipe(duplex=False)
--- a/petrelway/node/links.py
+++ b/petrelway/node/links.py
@@ -336,8 +336,9 @@
             self.address, self.port = address, port
             self.cut("the list names another place")
 
-    def restarted(self, started_ms: float) -> None:
-        """The list names a process started then; a connection to an older one cannot answer."""
+    def restarted(self, unix_ms: float, started_ms: float) -> None:
+        """The list names a process started then, by the list's clock and by ours; a connection to an older
+        one cannot answer."""
         if started_ms:
             self.cut("the list names a later process", before_ms=started_ms - 1.0)
 
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -63,9 +63,11 @@
         log,
         connect: Callable | None = None,
         peers: bool = False,
+        unix_ahead_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """`read` gives the configuration's bytes anew, at SIGHUP; raises OSError. `peers`: know the other
-        front ends, where the settings permit words to them."""
+        front ends, where the settings permit words to them. `unix_ahead_s`: how far the wall clock has been
+        stepped ahead of the reactor's."""
         self.reactor, self.told, self.read, self.log = reactor, told, read, log
         self.connect = connect or connector(reactor)
         self.lag_ms = 0.0
@@ -74,6 +76,7 @@
         self.port = self.pulse = None
         self.stopping = False
         self.wants_peers, self.fleet = peers, None
+        self.unix_ahead_s = unix_ahead_s
 
     def now(self) -> float:
         return self.reactor.seconds() * 1e3
@@ -99,6 +102,7 @@
             chance,
             self.log,
             link=self._link,
+            unix_ahead_s=self.unix_ahead_s,
         )
         portions = [c.portion for c in terms.customers]
         self.shedder = Shedder(portions, LAG_BOUND_MS, OPEN_BOUND, BUFFERED_BOUND, told.sockets, chance)
@@ -207,6 +211,7 @@
     def _beat(self, due_ms: float) -> None:
         now = self.now()
         self.lag_ms += LAG_GAIN * (max(0.0, now - due_ms) - self.lag_ms)
+        self.host.look_at_wall_clock()
         self.shedder.seen(self.lag_ms, self.host.owed, self.host.held_bytes, len(self.door.callers))
         self.pulse = self.reactor.callLater(PULSE_MS / 1e3, self._beat, now + PULSE_MS)
 
--- a/petrelway/rehearsal/conductor.py
+++ b/petrelway/rehearsal/conductor.py
@@ -8,7 +8,6 @@
 import signal
 import socket
 import sys
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -16,6 +15,7 @@
 import psutil
 from twisted.internet import defer, error, protocol
 
+from ..clock import process_clock
 from ..standin.fault_proxy import proxy_address
 from ..standin.parts import Plan
 from ..standin.script import late, other_ways
@@ -88,7 +88,7 @@
     ports = own.draw(2 + fronts + posts)
     plan = {
         "day": tree,
-        "epoch_ms": time.time() * 1e3 + LEAD_MS + fronts * LEAD_EACH_MS,
+        "epoch_ms": process_clock().seconds() * 1e3 + LEAD_MS + fronts * LEAD_EACH_MS,
         "ports": {
             "store": ports[0],
             "roster": ports[1],
--- a/petrelway/standin/hollow_process.py
+++ b/petrelway/standin/hollow_process.py
@@ -72,8 +72,9 @@
 
 def run_hollow(plan: FleetPlan, numbers: range, ports: bool, process: int, introduced: bool) -> None:
     """Run these members until asked to stop. Raises HollowFault or CannotListenError."""
-    from twisted.internet import reactor
+    from ..clock import steady_reactor
 
+    reactor = steady_reactor()
     group = HollowGroup(reactor, plan, numbers, ports, process)
     group.start(introduced)
     sys.stdout.write(msgspec.json.encode(group.report()).decode() + "\n")
--- a/petrelway/standin/platform.py
+++ b/petrelway/standin/platform.py
@@ -290,6 +290,7 @@
 
     def __init__(self, port: int = 0) -> None:
         self.resumed: list[int] = []
+        self.silent = False  # says nothing, and stays open
         self.number, self.events = 1, list[tuple[int, bytes]]()
         super().__init__(port)
 
@@ -301,10 +302,12 @@
         number = int.from_bytes(wire.recv(8, socket.MSG_WAITALL), "big")
         self.resumed.append(number)
         for turn in itertools.count():
+            time.sleep(0.02 if turn else 0.0)
+            if self.silent:
+                continue
             for at, data in list(self.events):
                 if at > number:
                     wire.sendall(data)
                     number = at
             if turn % 10 == 0:
                 wire.sendall(event(number, 0))
-            time.sleep(0.02)
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -1,16 +1,20 @@
 """The wall clock is stepped under the real program; deadlines, waits and graces stay spans of real time."""
 
+import contextlib
+import itertools
+import signal
 import time
 
 import pytest
-from nodes import node
+from nodes import check, node, serving, until
 
-from petrelway.standin.platform import Holder, request
+from petrelway.standin.platform import Bus, Executor, Holder, record, request
 
 A, B = (f"{n:016x}" for n in (1, 2))
 STEPS_S = (-3600.0, -5.0, 5.0, 3600.0)
 TTL_MS = 1500
 STEP_AFTER_S = 0.4
+client_numbers = itertools.count(1000)
 IN_TIME_S = 4.0  # far past the time to live: a busy machine must not fail the test
 
 
@@ -28,3 +32,153 @@
         assert "error" in client.hear()
         took_s = time.monotonic() - asked
         assert 0.9 * TTL_MS / 1e3 < took_s < IN_TIME_S
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_an_idle_front_end_serves_on_after_a_step(tmp_path, failing, step_s):
+    """Danger: the step passed for lag of the process, and what came next was refused."""
+    with node(tmp_path, [Executor()], failing=failing) as n:
+        client = n.client()
+        for number in range(1, 13):
+            if number % 3 == 0:
+                failing.step(step_s if number % 2 else 0.0)
+            client.say(request(number, call=f"{number:016x}", ttl=4000))
+            assert "result" in client.hear()
+            time.sleep(0.1)
+        stepped = [e for e in n.events() if e["event"] == "wall clock stepped"]
+    assert len(stepped) == 4
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_what_an_executor_is_told_to_wait_is_what_the_client_has_left(tmp_path, failing, step_s):
+    holder = Holder()
+    with node(tmp_path, [holder], failing=failing) as n:
+        failing.step(step_s)
+        client = n.client()
+        client.say(request(call=A, ttl=TTL_MS))
+        until(lambda: holder.held)
+        holder.fulfil(bytes.fromhex(A))
+        assert "result" in client.hear()
+        n.events()
+    ((_, _, fields, _),) = [told for told in holder.told if told[0] == 10]
+    assert 0 < int(fields["wait"]) <= TTL_MS
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_half_a_line_has_its_time_too(tmp_path, failing, step_s):
+    with node(tmp_path, [Executor()], failing=failing) as n:
+        client = n.client()
+        line = request(call=A, ttl=4000)
+        client.say(line[:50])
+        check(n.client())
+        failing.step(step_s)
+        time.sleep(0.6)  # connections are looked over each 250 ms
+        client.say(line[50:])
+        assert "result" in client.hear()
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_process_that_starts_on_a_stepped_clock_serves(tmp_path, failing, step_s):
+    failing.step(step_s)
+    with node(tmp_path, [Executor()], failing=failing) as n:
+        failing.step(0.0)
+        client = n.client()
+        client.say(request(call=A, ttl=4000))
+        assert "result" in client.hear()
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_step_while_it_leaves_changes_nothing_owed(tmp_path, failing, step_s):
+    """Danger: the graces of a shutdown are spans: after a step back it stayed for an hour."""
+    holder = Holder()
+    with node(tmp_path, [holder], failing=failing) as n:
+        client = n.client()
+        client.say(request(1, call=A, ttl=TTL_MS))
+        until(lambda: holder.held)
+        n.signal(signal.SIGTERM)
+        until(lambda: not serving(n.address))
+        failing.step(step_s)
+        client.say(request(2, call=B, ttl=TTL_MS))  # still taken
+        until(lambda: len(holder.held) == 2)
+        holder.fulfil(bytes.fromhex(B))
+        assert client.hear()["id"] == 2
+        assert client.hear()["id"] == 1  # its time is over
+        assert client.hear() is None
+        n.events(ended=False)
+    assert n.process.returncode == 0
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_discovery_that_falls_silent_over_a_step_is_asked_again(tmp_path, failing, step_s):
+    """Danger: with its silence reckoned on the wall clock the old list stood for an hour."""
+    executor, other = Executor(), Executor()
+    with contextlib.closing(other), node(tmp_path, [executor], failing=failing) as n:
+        until(lambda: n.bus.resumed)
+        n.bus.silent = True
+        time.sleep(0.3)
+        failing.step(step_s)
+        until(lambda: len(n.bus.resumed) >= 2)  # after 1.7 s without a word
+        n.bus.silent = False
+        n.bus.tell(record(1, executor.port, state=2), record(2, other.port))
+        client = n.client()
+        until(lambda: asked_at(client, other))
+
+
+def asked_at(client, executor):
+    number = next(client_numbers)
+    client.say(request(number, call=f"{number:016x}", ttl=4000))
+    client.hear()
+    return executor.requests()
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_reload_over_a_step_follows_the_new_address(tmp_path, failing, step_s):
+    second = Bus()
+    with contextlib.closing(second), node(tmp_path, [Executor()], failing=failing) as n:
+        n.write(second)
+        failing.step(step_s)
+        n.signal(signal.SIGHUP)
+        until(lambda: second.resumed)
+        client = n.client()
+        client.say(request(call=A, ttl=4000))
+        assert "result" in client.hear()
+
+
+BURST = 192  # requests at once, 32 on a connection
+BURST_TTL_MS = 1000
+# what one front end alone may send to a cold executor in that time by the rule: see `Gate._warm_enough`
+COLD_SENDS_BOUND = 96
+
+
+def burst_to(n, failing, step_s, started):
+    """How many of a burst an executor gets that is told after the step as the only one."""
+    other = Executor()
+    with contextlib.closing(other):
+        until(lambda: n.bus.resumed)
+        failing.step(step_s)
+        n.bus.tell(record(1, n.executors[0].port, state=2), record(2, other.port, started=started))
+        time.sleep(0.5)  # told in the next 20 ms, and a connection is dialled ahead
+        clients = [n.client() for _ in range(BURST // 32)]
+        for client in clients:
+            client.say(b"".join(asking(number) for number in range(1, 33)))
+        for client in clients:
+            for _ in range(32):
+                client.hear()
+        return len(other.requests())
+
+
+def asking(number):
+    return request(number, call=f"{next(client_numbers):016x}", ttl=BURST_TTL_MS)
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_cold_executor_is_spared_whatever_the_wall_clock_says(tmp_path, failing, step_s):
+    """Danger: with the wall clock an hour ahead one that has just started passed for warm."""
+    with node(tmp_path, [Executor()], failing=failing) as n:
+        assert 0 < burst_to(n, failing, step_s, int(time.time() * 1e3)) <= COLD_SENDS_BOUND
+
+
+def test_a_warm_executor_gets_the_burst(tmp_path, failing):
+    """The test above proves nothing if nobody would get so many."""
+    with node(tmp_path, [Executor()], failing=failing) as n:
+        assert burst_to(n, failing, 0.0, 0) > COLD_SENDS_BOUND
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -144,7 +144,7 @@
     def a_later_process(rig):
         rig.send()
         rig.run(0.01)
-        rig.link.restarted(5_000.0)
+        rig.link.restarted(5_000.0, 5_000.0)
 
     def says_garbage(rig):
         rig.life.garbage = 1.0
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -12,7 +12,6 @@
 from petrelway.fleet import words
 from petrelway.fleet.service import FleetService, Listed
 from petrelway.fleet.words import Kind, Start, State, Word, digest
-from petrelway.front.service import CLOCK_LOOK_S, FrontEndService
 from petrelway.node.service import NodeService
 from petrelway.platform.faults import PlatformFault
 from petrelway.platform.told import read_peers, read_told
@@ -141,16 +140,6 @@
     assert rig.told[-1].share == pytest.approx(1 / 3)
 
 
-def test_a_step_of_the_systems_clock_is_said():
-    clock, log, walls = task.Clock(), Log(), iter([1000.0, 1010.0, 20.0, 30.0])
-    front = SimpleNamespace(reactor=clock, log=log, ahead_s=None)
-    front.watch_clock = lambda wall: FrontEndService.watch_clock(front, wall)
-    front.watch_clock(lambda: next(walls))
-    for _ in range(3):
-        clock.advance(CLOCK_LOOK_S)
-    assert sum("clock stepped" in str(line) for line in log.lines) == 1
-
-
 # -- on the operators' platform
 
 PEERS = ["10.3.0.1:7946", "10.3.0.2:7946"]
--- /dev/null
+++ b/tests/test_forward_clock.py
@@ -0,0 +1,95 @@
+"""The decisions under a host whose clock goes back: nothing raises, and each request has its time."""
+
+import random
+
+import pytest
+from helpers import Host, verbs
+
+from petrelway.interface import Effect, Outcome, Part, Verb, Warmth
+
+STEPS_MS = (-3_600_000.0, -5_000.0, -1.0, 5_000.0, 3_600_000.0)
+TTL_MS = 1000.0
+
+
+class SteppedHost(Host):
+    """Counts real time beside its own clock, which `step` moves; wakes fall due by its own clock."""
+
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.real_ms = 0.0
+
+    def step(self, by_ms):
+        self.now += by_ms
+        if self.fe.wake_ms < float("inf"):
+            self.fe.time_passed(self.now)  # a host looks again when its clock was stepped
+
+    def forward(self, ms):
+        self.now += ms
+        self.real_ms += ms
+        self.fe.time_passed(self.now)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_whatever_the_hosts_clock_does_each_request_is_answered_in_its_time(seed):
+    draw = random.Random(seed)
+    host = SteppedHost(executors=4, misses=bool(seed % 2), ration=(1000.0, 2.0, 0.5))
+    due, out, answered = {}, [], {}
+    for _ in range(3000):
+        if draw.random() < 0.01:
+            host.step(draw.choice(STEPS_MS[:3]))
+        if draw.random() < 0.3:
+            due[host.take(draw.randrange(5), remaining=TTL_MS)] = host.real_ms + TTL_MS
+        host.forward(draw.choice((0.0, 2.0, 10.0)))
+        for decision in decided(host):
+            if decision.verb is Verb.SEND:
+                trigger = host.fe.triggers[decision.trigger]
+                out.append((decision.trigger, trigger.sent - 1, decision.executor))
+            elif decision.verb in (Verb.NACK, Verb.BREAK_OFF):
+                answered.setdefault(decision.trigger, host.real_ms)
+            elif decision.verb is Verb.WITHDRAW:
+                ended = next(o for o in out if o[:2] == (decision.trigger, decision.number))
+                out.remove(ended)
+                host.end(*ended[:1], Outcome.WITHDRAWN, *ended[1:])
+            elif decision.verb is Verb.ORDER:
+                host.fe.order_answered(
+                    host.now, decision.executor, decision.function, Outcome.FULFILLED, 1, 100.0
+                )
+        if out and draw.random() < 0.6:
+            trigger, number, executor = out.pop(draw.randrange(len(out)))
+            outcome = draw.choice((Outcome.FULFILLED, Outcome.FULFILLED, Outcome.ERROR, Outcome.RESET))
+            host.end(trigger, outcome, number, executor, 50.0, Warmth.FOUND)
+            if outcome is Outcome.FULFILLED:
+                answered.setdefault(trigger, host.real_ms)
+        for trigger, at in due.items():
+            assert answered.get(trigger, host.real_ms) <= at, trigger
+    assert len(answered) > 500
+
+
+def decided(host):
+    found = []
+    while (decision := host.fe.decide(host.now)) is not None:
+        if decision.verb is not Verb.WAKE:
+            found.append(decision)
+        else:
+            assert decision.ms > host.now - 1.0  # in the host's own time, not in that of the decisions
+    return found
+
+
+def test_a_window_against_repeats_is_not_opened_by_a_step_back():
+    host = Host(2, Effect.STAMPED)
+    trigger = host.take(remaining=20_000.0)
+    assert "SEND" in verbs(host.pull())
+    host.pull(3_900.0)  # the window is 4 s
+    host.now -= 3_600_000.0
+    host.pull(200.0)
+    host.end(trigger, Outcome.RESET, executor=0)
+    assert "SEND" not in verbs(host.pull(500.0))
+
+
+def test_a_part_of_the_rations_is_not_kept_for_longer_by_a_step_back():
+    host = Host(2, peers=4)
+    host.fe.part_told(host.now, Part(0.5, host.now + 5_000.0))
+    host.pull(4_500.0)
+    host.now -= 3_600_000.0
+    host.pull(500.0)
+    assert host.fe.gate.share(host.fe.clock.enter(host.now)) == 0.25
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -203,7 +203,7 @@
 def test_a_later_process_behind_a_half_open_link():
     rig = Rig().up()
     rig.send(1)
-    rig.link.restarted(5_000.0)
+    rig.link.restarted(5_000.0, 5_000.0)
     assert rig.pipe.aborted
     rig.cut()
     assert rig.ears.ends == [((1, 0), Outcome.RESET)]
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -319,9 +319,9 @@
         (lambda rig: rig.link.leave("gone"), True),
         (lambda rig: rig.link.moved("127.0.0.1", 7001), True),
         (lambda rig: rig.link.moved("127.0.0.1", 7000), False),
-        (lambda rig: rig.link.restarted(rig.clock.seconds() * 1e3 + 5.0), True),
-        (lambda rig: rig.link.restarted(5.0), False),
-        (lambda rig: rig.link.restarted(0.0), False),
+        (lambda rig: rig.link.restarted(1.0, rig.clock.seconds() * 1e3 + 5.0), True),
+        (lambda rig: rig.link.restarted(5.0, 5.0), False),
+        (lambda rig: rig.link.restarted(0.0, 0.0), False),
         (lambda rig: rig.link.close(), True),
     ]
     for act, ends in table:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -256,8 +256,8 @@
     for told, now, share in table:
         host = Host(2, peers=4)
         if told is not None:
-            host.fe.part_told(0.0, Part(*told))
-        assert host.fe.gate.share(now) == share, (told, now)
+            host.fe.part_told(host.now, Part(told[0], host.now + told[1]))
+        assert host.fe.gate.share(host.now + now) == share, (told, now)
 
 
 def cold_sends(share):
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,94 @@
+"""When executors started, after steps of the wall clock: on the host, and to the decisions."""
+
+from doubles import Log
+from test_host import Rig
+
+from petrelway.start_times import StartTimes
+from petrelway.wire.listing import Line
+
+HOUR_MS = 3_600_000.0
+
+
+def test_without_a_step_a_start_is_what_was_told():
+    starts = StartTimes()
+    assert starts.own_ms(50_000.0, "a", 48_000.0) == 48_000.0
+    assert starts.own_ms(60_000.0, "a", 48_000.0) == 48_000.0
+    assert starts.own_ms(60_000.0, "b", 0.0) == 0.0
+
+
+def test_small_differences_are_no_step():
+    starts = StartTimes()
+    assert not starts.unix_ahead(30.0) and not starts.unix_ahead(-400.0)
+    assert starts.own_ms(50_000.0, "a", 48_000.0) == 48_000.0
+
+
+def test_a_wall_clock_that_runs_ahead_makes_no_executor_warm():
+    """Danger: an executor that has just started would pass for one that is an hour old."""
+    starts = StartTimes()
+    assert starts.unix_ahead(HOUR_MS)
+    assert starts.own_ms(50_000.0, "a", 48_000.0) == 48_000.0  # the list's own clock was not stepped
+    assert starts.own_ms(50_000.0, "b", 48_000.0 + HOUR_MS) == 50_000.0  # it was: no later than heard
+
+
+def test_a_wall_clock_that_was_ahead_at_the_start_is_made_up_for():
+    starts = StartTimes()
+    assert starts.own_ms(HOUR_MS, "a", 20_000.0) == 20_000.0  # for an hour, as it seems
+    assert starts.unix_ahead(-HOUR_MS)
+    assert starts.all_own_ms() == {"a": HOUR_MS}  # it may have started when it was first heard of
+
+
+def test_the_same_start_told_again_is_the_same_process():
+    starts = StartTimes()
+    first = starts.own_ms(50_000.0, "a", 90_000.0)
+    assert starts.own_ms(80_000.0, "a", 90_000.0) == first == 50_000.0
+    assert starts.own_ms(80_000.0, "a", 95_000.0) == 80_000.0
+    starts.forget("a")
+    assert starts.all_own_ms() == {}
+
+
+def listed(rig, started_ms):
+    rig.host.executors_listed(
+        [Line("e0", "127.0.0.1", 7000, "a", "quad", 0, "ready", 1.0, started_ms)], complete=True
+    )
+
+
+def test_a_step_is_said_once_and_cuts_no_connection():
+    rig = Rig(1)
+    ahead_s = [0.0]
+    rig.host.unix_ahead_s = lambda: ahead_s[0]
+    started_ms = rig.host.now()
+    listed(rig, started_ms)
+    rig.step(2000.0)
+    serial, _ = rig.take()
+    rig.step()
+    for step_s in (-3600.0, -3600.0, 3600.0):
+        ahead_s[0] = step_s
+        rig.host.look_at_wall_clock()
+        listed(rig, started_ms)
+        rig.step()
+    rig.end(0, serial, 0)
+    rig.step()
+    assert rig.kinds(serial) == ["fulfilled"]
+    said = [line for line in rig.log.lines if "wall clock stepped" in str(line)]
+    assert len(said) == 2 and rig.host.counts["wall clock stepped"] == 2
+
+
+def test_the_decisions_hear_the_later_start():
+    rig = Rig(1)
+    ahead_s = [0.0]
+    rig.host.unix_ahead_s = lambda: ahead_s[0]
+    heard_ms = rig.host.now()
+    listed(rig, heard_ms - 8_000.0)
+    rig.step(500.0)
+    ahead_s[0] = -3600.0
+    rig.host.look_at_wall_clock()
+    (executor,) = rig.host.front_end.executors.values()
+    assert executor.listing.started_ms == heard_ms
+
+
+def test_no_executor_that_has_gone_is_remembered():
+    rig = Rig(1)
+    listed(rig, rig.host.now())
+    rig.lists({0: "gone"})
+    rig.step(8_000.0)
+    assert rig.host.starts.all_own_ms() == {} and Log
