--- a/petrelway/choice.py
+++ b/petrelway/choice.py
@@ -461,6 +461,13 @@
                 self.gate.taken.remove(t.taken_ms)
             self.attention.append(trigger)
 
+    def request_given_up(self, now: float, trigger: int) -> None:
+        """Its connection ends: the one final answer is due now."""
+        now = self.clock.enter(now)
+        if t := self.triggers.get(trigger):
+            t.answer_by = min(t.answer_by, now)
+            self.attention.append(trigger)
+
     def terms_told(
         self, now: float, tariffs: list[Tariff], customers: list[Customer], permits: Permits
     ) -> None:
--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from collections import Counter
 from typing import NoReturn
 
 import click
@@ -38,13 +39,19 @@
         return front.stopService()
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it ends the process; the file is read below
+    short = Counter[str]()  # errors of the system that the start has met
+
+    def patiently(make):
+        return with_patience(make, short.update)
+
     from twisted.internet import error
 
     from ..clock import process_clock, steady_reactor
     from ..front.collecting import settle
+    from ..front.starting import with_patience
     from ..node.service import NodeService
 
-    reactor = steady_reactor()
+    reactor = patiently(steady_reactor)
 
     def read() -> bytes:
         with open(file, "rb") as source:
@@ -55,11 +62,19 @@
     # have asked since it listens
     signal.signal(signal.SIGTERM, lambda *_: reactor.callWhenRunning(reactor.stop))
     try:
-        told = read_told(read())
+        told = read_told(patiently(read))
     except (PlatformFault, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=told.name)
-    front = NodeService(reactor, told, read, log, peers=peers, unix_ahead_s=process_clock().unix_ahead_s)
+    front = NodeService(
+        reactor,
+        told,
+        read,
+        log,
+        peers=peers,
+        unix_ahead_s=process_clock().unix_ahead_s,
+        patiently=patiently,
+    )
     try:
         front.startService()
     except PlatformFault as fault:
@@ -69,6 +84,8 @@
             f"{file}: listen: found {told.address}:{told.port}, which can't be listened on "
             f"({problem.socketError}); allowed: a free address"
         )
+    if short:
+        log.warning("the start waited for the system", errors=dict(short))
     settle()
     reactor.addSystemEventTrigger("before", "shutdown", leave)
     reactor.run()
--- a/petrelway/front/host.py
+++ b/petrelway/front/host.py
@@ -76,6 +76,18 @@
         self.timer = None
 
 
+class PendingAnswer(defer.Deferred):
+    """The one final answer of a trigger. Cancelled, it tells that the client has gone."""
+
+    def __init__(self, gone: Callable, given_up: Callable[[], None]) -> None:
+        super().__init__(gone)
+        self._given_up = given_up
+
+    def give_up(self) -> None:
+        """Ask for the final answer now, whatever is out: nacked if a repeat does no harm, else broken off."""
+        self._given_up()
+
+
 class Taken:
     """One trigger, from the taking until the module releases it."""
 
@@ -97,13 +109,19 @@
         self.outer_ms, self.work_ms, self.content_type, self.body = outer_ms, work_ms, content_type, body
         self.out: dict[int, Out] = {}
         self.sent = 0
-        self.answer: defer.Deferred[Answer] | None = defer.Deferred(self._cancelled)  # None: answered or gone
+        # None: answered, or its client has gone
+        self.answer: PendingAnswer | None = PendingAnswer(self._cancelled, self._gives_up)
         self.gone: Callable[[Taken], None] | None = None
+        self.given_up: Callable[[Taken], None] | None = None
 
     def _cancelled(self, _: defer.Deferred) -> None:
         if self.gone is not None:
             self.gone(self)
 
+    def _gives_up(self) -> None:
+        if self.given_up is not None and self.answer is not None:
+            self.given_up(self)
+
 
 class Host:
     """One front end's host. Times in ms of the clock handed in."""
@@ -175,7 +193,7 @@
         repeat: bool,
         content_type: str,
         body: bytes,
-    ) -> defer.Deferred[Answer]:
+    ) -> PendingAnswer:
         """Take a trigger; from now on it is owed one final answer, which the Deferred carries."""
         now = self.now()
         known, new = self.functions.enter(function.name)
@@ -199,6 +217,7 @@
             body,
         )
         t.gone = self._client_gone
+        t.given_up = self._give_up
         self.taken[index] = t
         self.owed += 1
         self.held_bytes += len(body)
@@ -341,6 +360,11 @@
         self.front_end.client_gone(self.now(), t.index)
         self._soon()
 
+    def _give_up(self, t: Taken) -> None:
+        self.counts["given up for its connection"] += 1
+        self.front_end.request_given_up(self.now(), t.index)
+        self._soon()
+
     # -- the turn
 
     def _soon(self) -> None:
@@ -535,11 +559,15 @@
         self.idle = self.idle or defer.Deferred()
         return self.idle
 
-    def close(self) -> None:
-        """Withdraw what is out, leave all executors."""
+    def break_off_all(self) -> None:
+        """What is owed past every outer limit gets its answer now."""
         for t in list(self.taken.values()):
             if t.answer is not None:
                 self._answer(t, Answer(BROKEN_OFF))
+
+    def close(self) -> None:
+        """Withdraw what is out, leave all executors."""
+        self.break_off_all()
         for call in (self.turn, self.wake, *(order[3] for order in self.orders.values())):
             if call is not None and call.active():
                 call.cancel()
--- a/petrelway/node/door.py
+++ b/petrelway/node/door.py
@@ -1,7 +1,7 @@
 """The door: clients' connections. Lines in, one final answer each out; the only part that clients see.
 
-What is wrong is answered with an error at once. A connection whose bytes can't be told apart any more, that
-keeps on asking for what can't be taken, or that says nothing, is closed; its open triggers are taken back.
+What is wrong is answered with an error at once. When a connection may be read and closed is decided in
+`obligations/client_connection.py`; here its decisions are carried out on the transport.
 """
 
 from __future__ import annotations
@@ -12,51 +12,20 @@
 from twisted.internet import defer, interfaces, protocol
 from twisted.python.failure import Failure
 
-from ..front.host import FULFILLED, NACKED, Answer
+from ..front.host import FULFILLED, NACKED, Answer, PendingAnswer
+from ..obligations.client_connection import OPEN_BOUND, ClientConnection, CloseReason, Phase
 from ..platform import lines
 from ..platform.lines import LineFault
 from ..platform.passed import Passed
 
-OPEN_BOUND = 32  # requests open on one connection
-FAULTS_BOUND = 16  # errors of one connection, and past it it is closed
 LINES_A_TURN = 8  # of one connection; the others come first then
-CLOGGED_LINES = 256  # read from a client that does not read its answers, and past it it is closed
 LOOK_AGAIN_MS = 20.0  # what seems to say nothing is looked at twice, so long apart
 SWEEP_MS = 250.0  # connections are looked over this often
-SILENT_MS = 2000.0  # a connection that said nothing, or half a line, for so long is closed
-IDLE_MS = 5000.0  # one without an open request; the clients' own time is shorter
-CLOGGED_MS = 2000.0  # one that does not read its answers
 ABORT_MS = 2000.0  # one that is closed and does not go: its answers are not read
-FRESH_MS = 100.0  # one so young is not closed for want of room while an older one can be
+LINGER_BYTES = 1 << 20  # read and dropped from a client whose connection ends for what it said
 BUFFER_BYTES = 1 << 18  # answers that wait for a client that does not read
-HALF_A_LINE = "half a line for too long"
-USED_BOUND = 1024  # request numbers of one connection that are remembered one by one
-
-
-class Used:
-    """Which numbers a connection has used, in bounded memory: all up to `low`, and some above.
-
-    >>> used = Used(2); [used.enter(n) for n in (1, 2, 2, 9, 7, 9, 30, 8)]
-    [True, True, False, True, True, False, True, True]
-    >>> used.enter(3)
-    False
-    """
-
-    def __init__(self, bound: int = USED_BOUND) -> None:
-        self.bound, self.low, self.above = bound, 0, set[int]()
-
-    def enter(self, number: int) -> bool:
-        """False if it was used before, or is older than what is remembered."""
-        if number <= self.low or number in self.above:
-            return False
-        self.above.add(number)
-        while self.low + 1 in self.above:
-            self.low += 1
-            self.above.remove(self.low)
-        if len(self.above) > self.bound:
-            self.low = min(self.above)
-            self.above.remove(self.low)
-        return True
+SILENT_SHARE = 4  # for want of room this part of the bound is closed at once of those that never spoke
+LINGERS = frozenset({CloseReason.UNREADABLE, CloseReason.FAULTS, CloseReason.HALF_LINE})
 
 
 class Caller(protocol.Protocol):
@@ -65,62 +34,71 @@
     def __init__(self, door: Door) -> None:
         self.door = door
         self.lines = lines.Lines()
-        self.open: dict[int, tuple[bytes, defer.Deferred[Answer]]] = {}  # by number: id, answer
-        self.used = Used()
-        self.faults = 0
-        self.spoke = self.closing = self.clogged = self.held = False
+        self.state = ClientConnection(door.now())
+        self.answers: dict[int, PendingAnswer] = {}  # by number
+        self.held = False  # not read from until the others had their turn
         self.again = None
-        self.since_ms = self.clogged_ms = 0.0  # of the last whole line or answer, or the start
-        self.unread = 0  # lines that came while it did not read
+        self.dropped_bytes = 0  # read after the connection's end was decided
 
     # -- the transport's side
 
     def connectionMade(self) -> None:
-        self.since_ms = self.door.now()
         getattr(self.transport, "setTcpNoDelay", lambda _: None)(True)
         self.transport.bufferSize = BUFFER_BYTES
         self.transport.registerProducer(self, True)
         self.door.came(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if not self.closing:
-            self.lines.feed(data)
-            if self.again is None:
-                self._read()
+        if not self.state.reading:
+            self._drop(len(data))
+            return
+        self.lines.feed(data)
+        if self.again is None:
+            self._read()
+
+    def _drop(self, count: int) -> None:
+        """Danger: closing with bytes unread resets the connection, and the reset may overtake the answers."""
+        self.dropped_bytes += count
+        if self.dropped_bytes > LINGER_BYTES and self.state.phase is Phase.CLOSING:
+            self._abort()
 
     def _read(self) -> None:
         """A few lines; what is left waits until the others had their turn."""
         self.again = None
-        door = self.door
         for _ in range(LINES_A_TURN):
-            if self.closing:
+            if not self.state.reading:
                 return
             try:
                 line = self.lines.next()
                 if line is None:
-                    if self.held:
-                        self.transport.resumeProducing()
-                    self.held = False
-                    self.leave()
+                    self._read_all()
                     return
-                self.since_ms, self.spoke = door.now(), True
-                if self.clogged:
-                    self.unread += 1
-                    if self.unread > CLOGGED_LINES:
-                        door.counts["clients that did not read"] += 1
-                        self.end()
-                        return
-                door.asks.read(line, self)
+                self._line(line)
             except LineFault as fault:
                 self.fault(fault)
-        if not self.closing:
+        if self.state.reading:
             self.held = True
             self.transport.pauseProducing()
-            self.again = door.clock.callLater(0, self._read)
+            self.again = self.door.clock.callLater(0, self._read)
+
+    def _read_all(self) -> None:
+        if self.held:
+            self.transport.resumeProducing()
+        self.held = False
+        self.leave()
+
+    def _line(self, line: bytes) -> None:
+        if not line:
+            return  # no message; it counts neither as a word nor as a fault
+        if (reason := self.state.line_read(self.door.now())) is not None:
+            self.end(reason)
+        else:
+            self.door.asks.read(line, self)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self.closing = True
-        self._take_all_back()
+        self.state.closed()
+        for answer in list(self.answers.values()):
+            answer.cancel()
         if self.again is not None:
             self.again.cancel()
             self.again = None
@@ -129,18 +107,18 @@
     def pauseProducing(self) -> None:
         """It does not read its answers. Danger: were it not read from either, its close and its `interrupt`
         would go unheard, and further transmissions begin for nobody."""
-        self.clogged, self.clogged_ms, self.unread = True, self.door.now(), 0
+        self.state.answers_unread(self.door.now())
 
     def resumeProducing(self) -> None:
-        self.clogged = False
+        self.state.answers_read()
 
     def stopProducing(self) -> None:
-        self.clogged = True
+        self.state.answers_unread(self.door.now())
 
     # -- what the client says
 
     def numbered(self, number: int) -> None:
-        if not self.used.enter(number):
+        if not self.state.used.enter(number):
             # danger: an error under this number would be a second answer to the one that had it first
             raise LineFault(None, lines.NOT_A_REQUEST, "an id that was used on this connection", last=True)
 
@@ -157,20 +135,22 @@
         load_ms: float,
     ) -> None:
         door = self.door
-        if len(self.open) >= OPEN_BOUND:
+        if len(self.state.open) >= OPEN_BOUND:
             raise LineFault(number, lines.NOT_A_REQUEST, f"over {OPEN_BOUND} requests open on one connection")
         if passed.call in door.calls:
             # danger: the other one may be somebody else's, who must not notice; our own is a client's fault
             ours = door.calls[passed.call][0] is self
             raise LineFault(number, lines.BAD_PARAMS, "call: open already", last=ours)
         # one that reads no answers gets no further work done for it
-        retry_ms = door.retry_ms if self.clogged else door.refuse(customer)
+        unread = self.state.unread_since_ms is not None
+        retry_ms = door.retry_ms if unread else door.refuse(customer)
         if retry_ms is not None:
             door.counts["nacked untaken"] += 1
             self.transport.write(lines.nacked(number, retry_ms))
             return
         answer = door.take(passed, tariff, customer, remaining_ms, work_ms, memory_mb, lanes, load_ms)
-        self.open[number] = passed.call, answer
+        self.state.taken(number, passed.call)
+        self.answers[number] = answer
         door.calls[passed.call] = self, number
         answer.addCallbacks(self._answered, self._unanswered, callbackArgs=(number,), errbackArgs=(number,))
 
@@ -179,9 +159,9 @@
             holder, number = self.door.calls.get(call, (None, None))
             if holder is not self:
                 return
-        if number in self.open:
+        if number in self.answers:
             self.door.counts["taken back"] += 1
-            self.open[number][1].cancel()
+            self.answers[number].cancel()
 
     def checked(self, number: int) -> None:
         self.transport.write(lines.serving(number, self.door.serving()))
@@ -189,12 +169,12 @@
     # -- answers
 
     def _ended(self, number: int) -> None:
-        del self.door.calls[self.open.pop(number)[0]]
-        self.since_ms = self.door.now()
+        del self.answers[number]
+        del self.door.calls[self.state.ended(number, self.door.now())]
 
     def _answered(self, answer: Answer, number: int) -> None:
         self._ended(number)
-        if self.closing:
+        if self.state.phase is Phase.CLOSED:
             return
         if answer.kind == FULFILLED:
             self.transport.write(lines.fulfilled(number, answer.body))
@@ -202,60 +182,65 @@
             self.transport.write(lines.nacked(number, answer.retry_ms))
         else:
             self.transport.write(lines.broken_off(number))
+        self._close_if_settled()
         self.leave()
 
     def _unanswered(self, failure: Failure, number: int) -> None:
         self._ended(number)
-        if not failure.check(defer.CancelledError) and not self.closing:
+        if not failure.check(defer.CancelledError) and self.state.phase is not Phase.CLOSED:
             self.door.log.error("answer failed", error=failure.getErrorMessage())
             self.transport.write(lines.broken_off(number))
+        self._close_if_settled()
         self.leave()
 
     def fault(self, fault: LineFault) -> None:
-        self.faults += 1
+        reason = self.state.fault(fault.last)
         self.door.faulted(fault)
         self.transport.write(lines.faulted(fault))
-        if fault.last or self.faults >= FAULTS_BOUND:
-            self.end()
+        if reason is not None:
+            self.end(reason)
 
     # -- the end
 
     def leave(self) -> None:
         """Close, if the front end leaves and nothing is owed here: no open request, no line that waits."""
-        if self.door.leaving and not self.open and self.again is None and not self.lines.whole():
-            self.end()
-
-    def quiet(self, now: float) -> str:
-        """Why it should be closed for what it does not say or read; empty if it should not."""
-        quiet_ms = now - self.since_ms
-        if self.closing:
-            return ""
-        if self.clogged and now - self.clogged_ms > CLOGGED_MS:
-            return "clients that did not read"
-        if self.lines.half() and self.again is None and quiet_ms > SILENT_MS:
-            return HALF_A_LINE
-        if not self.open and quiet_ms > (IDLE_MS if self.spoke else SILENT_MS):
-            return "idle connections closed"
-        return ""
-
-    def end(self) -> None:
-        """Close once what was written is out; abort if it does not go."""
-        if self.closing:
+        if self.door.leaving and not self.answers and self.again is None and not self.lines.whole():
+            self.end(CloseReason.LEAVING)
+
+    def half_line(self) -> bool:
+        return self.again is None and self.lines.half()
+
+    def quiet(self, now: float) -> CloseReason | None:
+        """Why it should be closed for what it does not say or read."""
+        return self.state.quiet(now, self.half_line())
+
+    def end(self, reason: CloseReason) -> None:
+        """Read no further request; give up what is open, and close once its answers are written."""
+        if not self.state.reading:
+            return
+        self.door.counts[reason] += 1
+        if self.held:
+            self.transport.resumeProducing()  # its close is heard, the rest is dropped
+        if self.state.end(reason):
+            for answer in list(self.answers.values()):
+                answer.give_up()
+        self._close_if_settled()
+
+    def _close_if_settled(self) -> None:
+        if not self.state.may_close():
             return
-        self.closing = True
-        self._take_all_back()
+        self.state.close()
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if self.state.reason in LINGERS:
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
         self.door.clock.callLater(ABORT_MS / 1e3, self._abort)
 
     def _abort(self) -> None:
         if self in self.door.callers:
             self.transport.abortConnection()
 
-    def _take_all_back(self) -> None:
-        for _, answer in list(self.open.values()):
-            answer.cancel()
-
 
 class Door(protocol.ServerFactory):
     """All clients' connections of one front end."""
@@ -265,7 +250,7 @@
     def __init__(
         self,
         asks: lines.Asks,
-        take: Callable[..., defer.Deferred[Answer]],
+        take: Callable[..., PendingAnswer],
         refuse: Callable[[int], float | None],
         serving: Callable[[], bool],
         clock: interfaces.IReactorTime,
@@ -283,6 +268,7 @@
         self.counts: Counter[str] = Counter()
         self.leaving = False
         self.empty: defer.Deferred[None] | None = None
+        self.room = None  # the call that will make room
         self.said: set[tuple[str, str]] = set()  # what was logged once
         self.timer = clock.callLater(SWEEP_MS / 1e3, self._sweep)
 
@@ -294,18 +280,36 @@
 
     def came(self, caller: Caller) -> None:
         self.callers[caller] = None
-        if len(self.callers) > self.connections_bound:
-            self._make_room()
 
-    def _make_room(self) -> None:
-        """Danger: without descriptors no client gets in and no executor is reached: the longest idle goes."""
+    # -- room
+
+    def has_room(self) -> bool:
+        """Whether one more connection may be accepted."""
+        return len(self.callers) < self.connections_bound
+
+    def make_room(self) -> None:
+        """Danger: without descriptors no client gets in and no executor is reached. Nobody is closed before
+        the sockets were looked at once more: its first request may lie unread."""
+        if self.room is None:
+            self.counts["connections over the bound"] += 1
+            self.say("connections over the bound", bound=self.connections_bound)
+            self.room = self.clock.callLater(0, self._look_before_room)
+
+    def _look_before_room(self) -> None:
+        self.room = self.clock.callLater(LOOK_AGAIN_MS / 1e3, self._close_for_room)
+
+    def _close_for_room(self) -> None:
+        """Those that go already, then all that never spoke, else the one that is idle for longest."""
+        self.room = None
         now = self.now()
-        idle = [c for c in self.callers if not c.open and not c.closing]
-        old = [c for c in idle if now - c.since_ms > FRESH_MS] or idle or [next(reversed(self.callers))]
-        silent = [c for c in old if not c.spoke] or old
-        self.counts["connections over the bound"] += 1
-        self.say("connections over the bound", bound=self.connections_bound)
-        min(silent, key=lambda c: c.since_ms).end()
+        for caller in [c for c in self.callers if c.state.phase is Phase.CLOSING]:
+            if now - caller.state.since_ms > LOOK_AGAIN_MS:
+                caller.transport.abortConnection()
+        idle = [c for c in self.callers if c.state.may_make_room(now) and not c.lines.half()]
+        idle.sort(key=lambda c: c.state.since_ms)
+        silent = [c for c in idle if not c.state.spoke]
+        for caller in silent[: max(1, self.connections_bound // SILENT_SHARE)] or idle[:1]:
+            caller.end(CloseReason.NO_ROOM)
 
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
@@ -336,11 +340,11 @@
         self.timer = self.clock.callLater(SWEEP_MS / 1e3, self._sweep)
         now = self.now()
         for c in callers:
-            if (why := c.quiet(now)) == HALF_A_LINE:
-                c.fault(LineFault(None, lines.NOT_A_REQUEST, why, last=True))
-            elif why:
-                self.counts[why] += 1
-                c.end()
+            reason = c.quiet(now)
+            if reason is CloseReason.HALF_LINE:
+                c.transport.write(lines.faulted(LineFault(None, lines.NOT_A_REQUEST, reason)))
+            if reason is not None:
+                c.end(reason)
 
     def leave(self) -> None:
         """From now on nothing new is taken; connections without an open request are closed."""
@@ -357,5 +361,7 @@
 
     def close(self) -> None:
         self.timer.cancel()
+        if self.room is not None:
+            self.room.cancel()
         for c in list(self.callers):
-            c.end()
+            c.end(CloseReason.STOPPED)
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 from twisted.application import service
 from twisted.internet import defer, interfaces
@@ -15,7 +16,8 @@
 from ..daemon.shedding import Shedder
 from ..fleet.service import FleetService, Listed, new_token
 from ..front.dialling import connector
-from ..front.host import Answer, Function, Host
+from ..front.host import Function, Host, PendingAnswer
+from ..front.listening import Listener, listen_tcp
 from ..interface import Effect
 from ..listing import Line
 from ..platform.faults import PlatformFault
@@ -26,6 +28,8 @@
 from .follower import Follower
 from .links import PlatformLink, Room
 
+RELOAD_TRIES, RELOAD_AGAIN_MS = 50, 100.0  # a configuration that can't be read for a moment
+BACKLOG = 512  # connections that wait in the system's queue
 OPEN_MS = 700.0  # after SIGTERM clients still come for so long
 LEAVE_SLACK_MS = 100.0  # what is owed is waited for this long past the longest outer limit
 FLUSH_MS = ABORT_MS + 250.0  # at most so long for the last answers to leave their transports
@@ -64,19 +68,20 @@
         connect: Callable | None = None,
         peers: bool = False,
         unix_ahead_s: Callable[[], float] = lambda: 0.0,
+        patiently: Callable[[Callable], Any] = lambda make: make(),
     ) -> None:
         """`read` gives the configuration's bytes anew, at SIGHUP; raises OSError. `peers`: know the other
         front ends, where the settings permit words to them. `unix_ahead_s`: how far the wall clock has been
-        stepped ahead of the reactor's."""
+        stepped ahead of the reactor's; `patiently` tries again what the system fails for a moment."""
         self.reactor, self.told, self.read, self.log = reactor, told, read, log
         self.connect = connect or connector(reactor)
         self.lag_ms = 0.0
         self.counts: Counter[str] = Counter()  # of configurations
         self.refused = ""  # why the last one was refused
-        self.port = self.pulse = None
+        self.port = self.pulse = self.reading = None
         self.stopping = False
         self.wants_peers, self.fleet = peers, None
-        self.unix_ahead_s = unix_ahead_s
+        self.unix_ahead_s, self.patiently = unix_ahead_s, patiently
 
     def now(self) -> float:
         return self.reactor.seconds() * 1e3
@@ -125,7 +130,9 @@
         )
         self.follower.start(told.known)
         self._beat(self.now())
-        self.port = self.reactor.listenTCP(told.port, self.door, backlog=512, interface=told.address)
+        self.port = self.patiently(
+            lambda: listen_tcp(self.reactor, told.port, self.door, BACKLOG, told.address, self.log)
+        )
         self.meet()
         super().startService()
         self.log.info(
@@ -193,7 +200,7 @@
         memory_mb: float,
         lanes: int,
         load_ms: float,
-    ) -> defer.Deferred[Answer]:
+    ) -> PendingAnswer:
         """Danger: the client's time runs from its last byte; what lay unread here is gone already."""
         remaining_ms = max(1.0, remaining_ms - self.lag_ms - WRITE_ROOM_MS)
         function = Function(passed.function, memory_mb, lanes or 1, load_ms)
@@ -220,18 +227,29 @@
     def reload(self) -> None:
         """SIGHUP: follow the event bus where the configuration now says; nothing else is touched.
 
+        Danger: a file that can't be read for a moment would leave the front end with a bus that has gone.
+
         Danger: one of another deployment would lead to another customer's executors, in places and kinds that
         mean something else here: nothing of it is used, its bus neither.
         """
+        if self.reading is not None and self.reading.active():
+            self.reading.cancel()
+        self._read_again(RELOAD_TRIES)
+
+    def _read_again(self, tries: int) -> None:
         try:
             told = read_told(self.read())
             if named(told) != named(self.told):
                 raise PlatformFault("another front end's, or other classes, tenants, zones or kinds")
-        except (PlatformFault, OSError) as fault:
+        except OSError as problem:
+            self.counts["unreadable"] += 1
+            self._refused(str(problem))
+            if tries > 1 and not self.stopping:
+                self.reading = self.reactor.callLater(RELOAD_AGAIN_MS / 1e3, self._read_again, tries - 1)
+            return
+        except PlatformFault as fault:
             self.counts["refused"] += 1
-            if str(fault) != self.refused:  # once for each reason in a row
-                self.refused = str(fault)
-                self.log.error("configuration can't be used: the old one holds", reason=self.refused)
+            self._refused(str(fault))
             return
         if self.stopping:
             return
@@ -244,6 +262,11 @@
         if told.bus != (self.follower.address, self.follower.port):
             self.follower.moved(*told.bus)
 
+    def _refused(self, reason: str) -> None:
+        if reason != self.refused:  # once for each reason in a row
+            self.refused = reason
+            self.log.error("configuration can't be used: the old one holds", reason=reason)
+
     @defer.inlineCallbacks
     def stopService(self):
         """SIGTERM: serve on for a moment, then answer what is owed and leave."""
@@ -254,6 +277,8 @@
         yield self._pause(OPEN_MS)
         # danger: after a stall clients still wait to be accepted, and their requests to be read: the sockets
         # are looked at twice before the listener closes
+        if isinstance(self.port, Listener):
+            yield self.port.nobody_waits()
         yield self._pause(0.0)
         yield self._pause(0.0)
         yield defer.maybeDeferred(self.port.stopListening)
@@ -261,11 +286,14 @@
         longest_ms = max(t.outer_ms for t in self.told.terms.tariffs) + LEAVE_SLACK_MS
         if not (yield self._in_time(host.nothing_owed(), longest_ms)):
             self.log.error("answers owed past every outer limit", owed=host.owed)
+            host.break_off_all()
         # danger: what still lies in a transport when the process ends never reaches its client
         if not (yield self._in_time(self.door.all_gone(), FLUSH_MS)):
             self.log.error("connections stay past their last answer", open=len(self.door.callers))
         self.follower.close()
         self.pulse.cancel()
+        if self.reading is not None and self.reading.active():
+            self.reading.cancel()
         if self.fleet is not None:
             self.fleet.stopService()
         self.door.close()
@@ -277,6 +305,7 @@
         return {
             "host": dict(sorted(self.host.counts.items())),
             "door": dict(sorted(self.door.counts.items())),
+            "listener": dict(sorted(getattr(self.port, "counts", {}).items())),
             "links": dict(sorted(self.room.counts.items())),
             "shed": dict(sorted(self.shedder.nacked.items())),
             "configurations": dict(sorted(self.counts.items())),
--- a/petrelway/platform/lines.py
+++ b/petrelway/platform/lines.py
@@ -190,7 +190,7 @@
     if type(other) is int:
         return other, None
     if number is None:
-        raise LineFault(None, BAD_PARAMS, "interrupt: call wanted", last=True)
+        raise LineFault(None, BAD_PARAMS, "interrupt: call wanted")
     return number, None
 
 
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -53,6 +53,8 @@
     def loseConnection(self):
         self.closed = True
 
+    loseWriteConnection = loseConnection  # what it says is not judged by which half is open
+
     def abortConnection(self):
         self.closed = self.aborted = True
 
