Room is made as fast as clients come; ends of resting connections are no outages

Past seven eighths of the bound as many idle ones go in the next turn as have come, each read once more before it is closed; the listener rests at the bound itself, 5 ms. A connection to an executor that ends at rest has a reason of its own, keeps no request from it, and its spare is dialled again with a delay of its own; ends are counted by a fixed set of reasons, logged once for each executor and cause.

--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -48,8 +48,8 @@
 
     from ..clock import process_clock, steady_reactor
     from ..front.collecting import settle
-    from ..front.starting import with_patience
     from ..node.service import NodeService
+    from ..sockets.starting import with_patience
 
     reactor = patiently(steady_reactor)
 
--- a/petrelway/daemon/service.py
+++ b/petrelway/daemon/service.py
@@ -17,12 +17,14 @@
 from ..front.ask import Ask
 from ..front.service import FrontEndService
 from ..logs import Lines
+from ..sockets.listening import listen_tcp
 from .shedding import Shedder, Step
 
 SLICE_MS, BURST_MS = 3.0, 30.0
 BACKGROUND_LAG_MS = 15.0  # from this lag on background work gets less
 LONGEST_WAIT_MS = 400.0  # of a background task: a page's few steps fit into a second
 HOUSEKEEPING_MS = 250.0
+CONSOLE_BACKLOG = 50
 
 
 class Daemon(FrontEndService):
@@ -83,8 +85,8 @@
         if wanted is not None:
             self.console = Console(self.reactor, self, self.background, self.log, token)
             try:
-                self.console_port = self.reactor.listenTCP(
-                    wanted.port, self.console, interface=wanted.address
+                self.console_port = listen_tcp(
+                    self.reactor, wanted.port, self.console, CONSOLE_BACKLOG, wanted.address, self.log
                 )
             except Exception:
                 self.port.stopListening()
--- a/petrelway/fleet/service.py
+++ b/petrelway/fleet/service.py
@@ -17,11 +17,14 @@
 from twisted.internet import error, interfaces, protocol
 
 from ..interface import Part
+from ..sockets.datagrams import listen_udp
+from ..sockets.listening import listen_tcp
 from .members import Members, Verb, Whole
 from .parts import Held, Parts
 from .words import Start, State, WordFault, digest, read, write
 
 DIAL_S = 2.0  # a try that has not ended by then says nothing
+BACKLOG = 512  # connections that wait in the system's queue
 CALLERS_BOUND = 64  # connections at the port at a time; more are closed at once
 CALLER_S = 5.0  # and each is closed after this time
 REASONS_BOUND = 32  # reasons for dropped datagrams that are logged
@@ -130,10 +133,10 @@
         """Raises twisted.internet.error.CannotListenError if the port is taken."""
         if self.told is not None:
             callers = self.door or Callers(self.reactor)
-            self.tcp = self.reactor.listenTCP(self.me.port, callers, backlog=512, interface=self.me.address)
+            self.tcp = listen_tcp(self.reactor, self.me.port, callers, BACKLOG, self.me.address, self.log)
         self.datagrams = Datagrams(self._came)
         try:
-            self.udp = self.reactor.listenUDP(self.me.port, self.datagrams, interface=self.me.address)
+            self.udp = listen_udp(self.reactor, self.me.port, self.datagrams, self.me.address)
         except error.CannotListenError:
             if self.tcp is not None:
                 self.tcp.stopListening()
--- /dev/null
+++ b/petrelway/front/end_reasons.py
@@ -0,0 +1,54 @@
+"""Why a connection to an executor ended: a fixed set, for logs and counts."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from twisted.internet import defer, error
+from twisted.python.failure import Failure
+
+
+class EndReason(StrEnum):
+    """What ended a connection, or kept it from coming up."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed out"
+    NO_ROUTE = "no route"
+    NO_SOCKET = "no socket to be had here"
+    RESET = "reset"
+    CLOSED = "closed by the executor"
+    RESTING = "closed by the executor at rest"
+    UNREADABLE = "what it said can't be read"
+    NO_WELCOME = "no welcome"
+    HALF_ANSWER = "half an answer"
+    TAKES_NO_BYTE = "takes no byte"
+    GONE = "the list says that it has gone"
+    MOVED = "the list names another place"
+    RESTARTED = "the list names a later process"
+    SPENT = "spent"
+    IDLE = "idle"
+    LEAVING = "the front end leaves"
+
+
+FAILURES: tuple[tuple[type[BaseException], EndReason], ...] = (
+    (error.ConnectionRefusedError, EndReason.REFUSED),
+    (error.TimeoutError, EndReason.TIMED_OUT),
+    (defer.TimeoutError, EndReason.TIMED_OUT),
+    (error.NoRouteError, EndReason.NO_ROUTE),
+    (error.ConnectBindError, EndReason.NO_SOCKET),
+    (error.ConnectionDone, EndReason.CLOSED),
+    (error.ConnectionLost, EndReason.RESET),
+    (error.ConnectionAborted, EndReason.RESET),
+)
+
+
+def failure_reason(failure: Failure) -> EndReason:
+    """The reason that Twisted's failure stands for.
+
+    >>> failure_reason(Failure(error.TimeoutError())), failure_reason(Failure(error.ConnectionLost()))
+    (<EndReason.TIMED_OUT: 'timed out'>, <EndReason.RESET: 'reset'>)
+    """
+    for kind, reason in FAILURES:
+        if failure.check(kind):
+            return reason
+    return EndReason.NO_ROUTE if failure.check(error.ConnectError) else EndReason.RESET
--- a/petrelway/front/link_base.py
+++ b/petrelway/front/link_base.py
@@ -11,6 +11,7 @@
 
 from ..interface import Outcome
 from ..wire.codec import Load
+from .end_reasons import EndReason
 from .proof import Key
 
 CLOGGED_MS = 2000.0  # a connection that takes no byte for so long is broken off
@@ -79,12 +80,20 @@
     address: str
     port: int
     said_down: bool
+    said_reasons: set[EndReason]
 
-    def log_down(self, reason: str) -> None:
-        """One line for one outage, not one for each try."""
-        if not self.said_down:
+    def log_down(self, reason: EndReason, detail: str = "") -> None:
+        """One line for each cause of an executor's outages; how often stands in the counts."""
+        if not self.said_down and reason not in self.said_reasons:
+            self.said_reasons.add(reason)
+            more = {"detail": detail} if detail else {}
             self.log.warning(
-                "link down", executor=self.stable, address=self.address, port=self.port, reason=reason
+                "link down",
+                executor=self.stable,
+                address=self.address,
+                port=self.port,
+                reason=reason.value,
+                **more,
             )
             self.said_down = True
 
--- a/petrelway/front/links.py
+++ b/petrelway/front/links.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from twisted.internet import interfaces, protocol
-from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -19,6 +18,7 @@
 from ..wire.framing import Frames, WireFault
 from .backoff import Backoff
 from .link_base import BUFFER_BYTES, CLOGGED_MS, LinkListener, Question, SocketLinkReports
+from .end_reasons import EndReason, failure_reason
 from .proof import Key, Ledger
 
 CONNECT_TIMEOUT_MS = 250.0  # a connection that is not up by then counts as unreachable
@@ -95,7 +95,9 @@
         self.wire: WorkerProtocol | None = None
         self.ready = False  # the executor has said who it is
         self.closed = False
-        self.reason = ""  # why the last connection ended, for the one line in the log
+        self.reason: EndReason | None = None  # why the last connection ended, if this side ended it ...
+        self.detail = ""  # ... and more of it, for the log
+        self.said_reasons = set[EndReason]()
         self.attempt = None  # the connect under way
         self.timer = None  # the next connect, or the watch on a connection that says or takes nothing
         self.said_down = False
@@ -186,7 +188,7 @@
     def restarted(self, unix_ms: float, started_ms: float) -> None:
         """The roster names a process started then; a link to an older one is half open and cannot answer."""
         if self.wire is not None and self.ready and self.started_ms < unix_ms - 1.0:
-            self.reason = "the roster names a later process"
+            self.reason = EndReason.RESTARTED
             self.wire.transport.abortConnection()
 
     def close(self) -> None:
@@ -214,18 +216,17 @@
     def _refused(self, failure: Failure) -> None:
         self.attempt = None
         if not self.closed:
-            self._down(failure.getErrorMessage() if failure.check(ConnectError) else str(failure.value))
+            self._down(failure_reason(failure))
 
     def came_up(self, wire: WorkerProtocol) -> None:
         self.attempt = None
         if self.closed:
             wire.transport.abortConnection()
             return
-        self.wire, self.ready, self.reason = wire, False, ""
+        self.wire, self.ready = wire, False
+        self.reason, self.detail = None, ""
         wire.transport.write(codec.greeting(self.front_end, self.process))
-        self.timer = self.clock.callLater(
-            GREETING_MS / 1e3, self._timed_out, f"no welcome within {GREETING_MS:g} ms"
-        )
+        self.timer = self.clock.callLater(GREETING_MS / 1e3, self._timed_out, EndReason.NO_WELCOME)
 
     def welcomed(self, executor: str, process: str, machine: str, started_ms: float) -> None:
         if executor != self.stable:  # danger: a port used anew by another executor must not be trusted
@@ -264,8 +265,8 @@
         if self.orders.pop(id, None) is Question.PROBE:
             self.listener.probe_answered(self.executor, id, Outcome.FULFILLED, load)
 
-    def faulted(self, reason: str) -> None:
-        self.reason = reason
+    def faulted(self, detail: str) -> None:
+        self.reason, self.detail = EndReason.UNREADABLE, detail
 
     def went_down(self, wire: WorkerProtocol, reason: Failure) -> None:
         if wire is not self.wire:
@@ -273,20 +274,18 @@
         self.wire, self.ready = None, False
         self._stop_timer()
         if not self.closed:
-            self._down(self.reason or reason.getErrorMessage())
+            self._down(self.reason or failure_reason(reason))
 
     def clogged(self) -> None:
         if self.ready and self.timer is None:
-            self.timer = self.clock.callLater(
-                CLOGGED_MS / 1e3, self._timed_out, f"took no byte for {CLOGGED_MS:g} ms"
-            )
+            self.timer = self.clock.callLater(CLOGGED_MS / 1e3, self._timed_out, EndReason.TAKES_NO_BYTE)
 
     def cleared(self) -> None:
         if self.ready:
             self._stop_timer()
         self._drain()
 
-    def _timed_out(self, reason: str) -> None:
+    def _timed_out(self, reason: EndReason) -> None:
         self.timer = None
         self.reason = reason
         if self.wire is not None:
@@ -295,8 +294,8 @@
     def _drain(self) -> None:
         self.drain(self.frames, self._writable, self._hand_over)
 
-    def _down(self, reason: str) -> None:
-        self.log_down(reason)
+    def _down(self, reason: EndReason) -> None:
+        self.log_down(reason, self.detail)
         self._end_all()
         self.timer = self.clock.callLater(self.backoff.failed() / 1e3, self._dial)
 
--- a/petrelway/front/service.py
+++ b/petrelway/front/service.py
@@ -13,6 +13,7 @@
 from ..choice import FrontEnd
 from ..interface import ColdRule, Keeping, LoadRation, Place
 from ..fleet.service import FleetService, Listed, new_token
+from ..sockets.listening import listen_tcp
 from . import terms
 from .ask import Ask
 from .dialling import connector
@@ -20,6 +21,7 @@
 from .intake import Intake
 from .roster import Follower
 
+BACKLOG = 512  # connections that wait in the system's queue
 CLOCK_LOOK_S = 1.0  # the wall clock is looked at this often
 LEAVE_SLACK_MS = 500.0  # what is owed is waited for this long past the longest outer limit
 
@@ -116,7 +118,7 @@
         if self.policy is not None:
             self.intake.terms = self.policy.look
         listen = found["listen"]
-        self.port = self.reactor.listenTCP(listen.port, self.intake, backlog=512, interface=listen.address)
+        self.port = listen_tcp(self.reactor, listen.port, self.intake, BACKLOG, listen.address, self.log)
         roster = found["roster"]
         self.follower = Follower(
             place.name,
--- a/petrelway/logs.py
+++ b/petrelway/logs.py
@@ -35,16 +35,28 @@
 
     def write(self, text: str) -> int:
         if self.at_once:
-            return self.stream.write(text)
+            self._write_now(text)
+            return len(text)
         if len(self.waiting) >= self.bound:
             self.lost += text.count("\n")
         else:
             self.waiting.append(text)
         return len(text)
 
-    def flush(self) -> None:
-        if self.at_once:
+    def _write_now(self, text: str) -> None:
+        """Danger: a log that can't be written must not end what was being logged: a request, a connection."""
+        if self.lost:
+            text = f"({self.lost} log lines lost)\n{text}"
+        try:
+            self.stream.write(text)
             self.stream.flush()
+        except OSError:
+            self.lost += 1
+            return
+        self.lost = 0
+
+    def flush(self) -> None:
+        """Lines are written out as they come."""
 
     def ship(self) -> bool:
         """Write one batch; whether any line waited."""
--- a/petrelway/node/door.py
+++ b/petrelway/node/door.py
@@ -24,7 +24,8 @@
 ABORT_MS = 2000.0  # one that is closed and does not go: its answers are not read
 LINGER_BYTES = 1 << 20  # read and dropped from a client whose connection ends for what it said
 BUFFER_BYTES = 1 << 18  # answers that wait for a client that does not read
-SILENT_SHARE = 4  # for want of room this part of the bound is closed at once of those that never spoke
+SPARE_PART = 8  # this part of the connections' bound is kept free for who comes next
+SHORTAGE_CLOSES = 8  # closed at once when the system itself has no descriptor left
 LINGERS = frozenset({CloseReason.UNREADABLE, CloseReason.FAULTS, CloseReason.HALF_LINE})
 
 
@@ -210,6 +211,15 @@
     def half_line(self) -> bool:
         return self.again is None and self.lines.half()
 
+    def may_make_room(self, now: float) -> bool:
+        """Whether it may be closed so that another one finds room."""
+        return self.state.may_make_room(now) and self.again is None and not self.lines.half()
+
+    def read_now(self) -> None:
+        """Whatever has come and was not read."""
+        if read := getattr(self.transport, "doRead", None):
+            read()  # an end that it tells of is told again to the reactor
+
     def quiet(self, now: float) -> CloseReason | None:
         """Why it should be closed for what it does not say or read."""
         return self.state.quiet(now, self.half_line())
@@ -262,6 +272,10 @@
         `retry_ms`: that of a client that reads no answers."""
         self.asks, self.take, self.refuse, self.serving = asks, take, refuse, serving
         self.clock, self.log, self.connections_bound = clock, log, connections_bound
+        self.connections_wanted = (
+            connections_bound - connections_bound // SPARE_PART
+        )  # past it some are closed
+        self.room_wanted = 0
         self.retry_ms = retry_ms
         self.callers: dict[Caller, None] = {}
         self.calls: dict[bytes, tuple[Caller, int]] = {}  # ids of what is open
@@ -280,36 +294,43 @@
 
     def came(self, caller: Caller) -> None:
         self.callers[caller] = None
+        if (over := len(self.callers) - self.connections_wanted) > 0:
+            self._make_room(over)
 
     # -- room
 
     def has_room(self) -> bool:
-        """Whether one more connection may be accepted."""
+        """Whether one more connection may be accepted now."""
         return len(self.callers) < self.connections_bound
 
     def make_room(self) -> None:
-        """Danger: without descriptors no client gets in and no executor is reached. Nobody is closed before
-        the sockets were looked at once more: its first request may lie unread."""
+        """The system has no descriptor left for somebody who waits."""
+        self._make_room(SHORTAGE_CLOSES)
+
+    def _make_room(self, wanted: int) -> None:
+        """Danger: without descriptors no client gets in and no executor is reached. In the next turn: what
+        has come on the others meanwhile is read before."""
+        self.counts["room wanted"] += 1
+        self.say("connections over the bound", bound=self.connections_bound)
+        self.room_wanted = max(self.room_wanted, wanted)
         if self.room is None:
-            self.counts["connections over the bound"] += 1
-            self.say("connections over the bound", bound=self.connections_bound)
-            self.room = self.clock.callLater(0, self._look_before_room)
-
-    def _look_before_room(self) -> None:
-        self.room = self.clock.callLater(LOOK_AGAIN_MS / 1e3, self._close_for_room)
+            self.room = self.clock.callLater(0, self._close_for_room)
 
     def _close_for_room(self) -> None:
-        """Those that go already, then all that never spoke, else the one that is idle for longest."""
+        """Those that go already, then those that never spoke, then those that are idle for longest."""
         self.room = None
         now = self.now()
-        for caller in [c for c in self.callers if c.state.phase is Phase.CLOSING]:
+        wanted, self.room_wanted = self.room_wanted, 0
+        ending = [c for c in self.callers if c.state.phase is Phase.CLOSING]
+        for caller in ending:
             if now - caller.state.since_ms > LOOK_AGAIN_MS:
                 caller.transport.abortConnection()
-        idle = [c for c in self.callers if c.state.may_make_room(now) and not c.lines.half()]
-        idle.sort(key=lambda c: c.state.since_ms)
-        silent = [c for c in idle if not c.state.spoke]
-        for caller in silent[: max(1, self.connections_bound // SILENT_SHARE)] or idle[:1]:
-            caller.end(CloseReason.NO_ROOM)
+        idle = [c for c in self.callers if c.may_make_room(now)]
+        idle.sort(key=lambda c: (c.state.spoke, c.state.since_ms))
+        for caller in idle[: max(0, wanted - len(ending))]:
+            caller.read_now()  # danger: its first request may lie unread
+            if caller.may_make_room(now):
+                caller.end(CloseReason.NO_ROOM)
 
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
--- a/petrelway/node/links.py
+++ b/petrelway/node/links.py
@@ -17,6 +17,7 @@
 from twisted.python.failure import Failure
 
 from ..front.backoff import Backoff
+from ..front.end_reasons import EndReason, failure_reason
 from ..front.link_base import BUFFER_BYTES, CLOGGED_MS, NO_LOAD, LinkListener, Question, SocketLinkReports
 from ..front.proof import Key, Ledger
 from ..interface import Outcome, Warmth
@@ -31,6 +32,9 @@
 SPARE_IDLE_MS = 10_000.0  # a connection not used for so long is closed, but for one ...
 IDLE_SHARE = 0.7  # ... which stays for this share of the platform's idle time
 RETRY_LEAST_MS, RETRY_MOST_MS = 30.0, 1000.0
+RESTING_MS = 250.0  # one that has been up for so long with nothing out is no failure when it ends ...
+SPARE_LEAST_MS, SPARE_MOST_MS = 250.0, 8000.0  # ... but a spare is not dialled again and again
+QUIET_ENDS = frozenset({EndReason.SPENT, EndReason.IDLE, EndReason.LEAVING, EndReason.RESTING})
 
 
 class Room:
@@ -82,9 +86,9 @@
         link.backoff.succeeded()
         try:
             self.frames.feed(data)
-        except PlatformFault as fault:
+        except PlatformFault:
             link.room.counts["answers that can't be read"] += 1
-            link.drop(self, str(fault))
+            link.drop(self, EndReason.UNREADABLE)
             return
         if self.lost:
             return
@@ -102,11 +106,11 @@
             self.half = self.link.clock.callLater(0.02, self._half_over, True)
             return
         self.link.room.counts["half an answer"] += 1
-        self.link.drop(self, f"half an answer for {HALF_MS:g} ms")
+        self.link.drop(self, EndReason.HALF_ANSWER)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         if not self.lost:
-            self.link.went_down(self, reason.getErrorMessage())
+            self.link.went_down(self, failure_reason(reason))
 
     def pauseProducing(self) -> None:
         self.paused, self.paused_ms = True, self.link.now()
@@ -167,7 +171,7 @@
     def tidy(self) -> None:
         """One that takes nothing new goes with the last that is out on it."""
         if self.spent and not self.open and not self.asked:
-            self.link.drop(self, "")
+            self.link.drop(self, EndReason.SPENT)
 
     def drain(self) -> None:
         """What has waited goes out if it still may."""
@@ -209,6 +213,9 @@
         self.idle_ms = IDLE_SHARE * idle_ms or math.inf
         self.backoff = Backoff(chance, RETRY_LEAST_MS, RETRY_MOST_MS)
         self.not_before_ms = 0.0  # no dial before this
+        self.spare_backoff = Backoff(chance, SPARE_LEAST_MS, SPARE_MOST_MS)
+        self.spare_not_before_ms = 0.0  # none ahead of need before this
+        self.said_reasons = set[EndReason]()
         self.wires: list[Wire] = []
         self.where: dict[Key, tuple[Wire, bytes, float]] = {}  # the id there, and since when
         self.closed = self.left = self.said_down = False
@@ -334,25 +341,25 @@
         """The list names another place for the same executor."""
         if (address, port) != (self.address, self.port):
             self.address, self.port = address, port
-            self.cut("the list names another place")
+            self.cut(EndReason.MOVED)
 
     def restarted(self, unix_ms: float, started_ms: float) -> None:
         """The list names a process started then, by the list's clock and by ours; a connection to an older
         one cannot answer."""
         if started_ms:
-            self.cut("the list names a later process", before_ms=started_ms - 1.0)
+            self.cut(EndReason.RESTARTED, before_ms=started_ms - 1.0)
 
-    def cut(self, reason: str, before_ms: float = 0.0) -> None:
+    def cut(self, reason: EndReason, before_ms: float = 0.0) -> None:
         """End all connections, or those that came up before this time, with what is out on them."""
         for wire in list(self.wires):
             if not before_ms or wire.up_ms < before_ms:
                 self.drop(wire, reason)
         self.not_before_ms = 0.0
 
-    def leave(self, reason: str) -> None:
+    def leave(self) -> None:
         """The list says that it has gone: end all, and dial no more until it says otherwise (`left`)."""
         self.left = True
-        self.cut(reason)
+        self.cut(EndReason.GONE)
 
     def close(self) -> None:
         """Leave for good; what is still out ends here."""
@@ -361,7 +368,7 @@
             self.timer.cancel()
             self.timer = None
         for wire in list(self.wires):
-            self.drop(wire, "")
+            self.drop(wire, EndReason.LEAVING)
 
     # -- the connections' side
 
@@ -379,19 +386,25 @@
     def _refused(self, failure: Failure, wire: Wire) -> None:
         if not wire.lost:
             wire.attempt = None
-            self.went_down(wire, failure.getErrorMessage())
+            self.went_down(wire, failure_reason(failure))
 
-    def went_down(self, wire: Wire, reason: str) -> None:
+    def went_down(self, wire: Wire, reason: EndReason) -> None:
         """It never came up, or the other side ended it."""
+        now = self.now()
+        if wire.up and not wire.open and not wire.asked and now - wire.up_ms >= RESTING_MS:
+            # danger: taken for an outage, it would keep requests from an executor that is well
+            self.spare_not_before_ms = now + self.spare_backoff.failed()
+            self.drop(wire, EndReason.RESTING)
+            return
         fresh = not wire.up or wire.heard_ms <= wire.up_ms
         if fresh:  # danger: one that accepts and resets would be dialled without end
-            self.not_before_ms = self.now() + self.backoff.failed()
+            self.not_before_ms = now + self.backoff.failed()
         alone = not any(w.up for w in self.wires if w is not wire)
         if fresh and alone and not self.closed:
             self.log_down(reason)
         self.drop(wire, reason)
 
-    def drop(self, wire: Wire, reason: str) -> None:
+    def drop(self, wire: Wire, reason: EndReason) -> None:
         """The end of one connection; all that is out on it ends with what that proves."""
         if wire.lost:
             return
@@ -399,6 +412,7 @@
         self.wires.remove(wire)
         self.room.used -= 1
         self.room.counts["connections ended"] += 1
+        self.room.counts[f"ended: {reason}"] += 1
         if wire.half is not None:
             wire.half.cancel()
             wire.half = None
@@ -407,7 +421,8 @@
             attempt.cancel()
         if was_up:
             wire.transport.unregisterProducer()
-            (wire.transport.abortConnection if wire.open or reason else wire.transport.loseConnection)()
+            quietly = reason in QUIET_ENDS and not wire.open
+            (wire.transport.loseConnection if quietly else wire.transport.abortConnection)()
         ends, asked = wire.ledger.broke(), list(wire.asked.values())
         wire.open.clear()
         wire.asked.clear()
@@ -425,13 +440,13 @@
                 if wire.paused and now - wire.paused_ms > CLOGGED_MS:
                     # danger: after a stall of this process there may be room unseen: look once more first
                     if wire.looked:
-                        self.drop(wire, f"took no byte for {CLOGGED_MS:g} ms")
+                        self.drop(wire, EndReason.TAKES_NO_BYTE)
                     wire.looked = True
             elif wire.up and now - wire.used_ms > (SPARE_IDLE_MS if ready else self.idle_ms):
-                self.drop(wire, "")
+                self.drop(wire, EndReason.IDLE)
             else:
                 ready = True
-        if not ready and self._may_dial():
+        if not ready and now >= self.spare_not_before_ms and self._may_dial():
             self._dial()
         if self.said_down and any(w.up and now - w.up_ms >= SWEEP_MS for w in self.wires):
             # not before: one that accepts and resets would say so without end
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -17,13 +17,13 @@
 from ..fleet.service import FleetService, Listed, new_token
 from ..front.dialling import connector
 from ..front.host import Function, Host, PendingAnswer
-from ..front.listening import Listener, listen_tcp
 from ..interface import Effect
 from ..listing import Line
 from ..platform.faults import PlatformFault
 from ..platform.lines import Asks
 from ..platform.passed import Passed
 from ..platform.told import Told, read_peers, read_told
+from ..sockets.listening import Listener, listen_tcp
 from .door import ABORT_MS, Door
 from .follower import Follower
 from .links import PlatformLink, Room
@@ -181,7 +181,7 @@
             # danger: a new executor at the same address would be taken for the one that has gone
             taken = at.get((link.address, link.port), link.stable) != link.stable
             if gone or taken:
-                link.leave("the list says that it has gone")
+                link.leave()
             elif line is not None:
                 link.left = False
 
--- a/petrelway/front/listening.py
+++ b/petrelway/sockets/listening.py
@@ -17,7 +17,7 @@
 NOBODY_WAITS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC})
 ACCEPTS_A_TURN = 100  # then the connections that are there are read
-PAUSE_MS = 20.0  # in a shortage, before accepting is tried again
+PAUSE_MS = 5.0  # in a shortage, before accepting is tried again
 AGAIN_MS = 5.0  # before the poller is asked again to watch a connection
 DRAIN_BOUND_MS = 1000.0  # a listener that closes takes in all that wait, for so long at most
 
@@ -28,7 +28,7 @@
     def has_room(self) -> bool: ...
 
     def make_room(self) -> None:
-        """Somebody waits: close what is idle. Called again each PAUSE_MS as long as there is no room."""
+        """The system has no descriptor left: close what is idle. Called again each PAUSE_MS."""
 
 
 def error_name(number: int | None) -> str:
@@ -131,6 +131,8 @@
             self.log.warning("connections can't be accepted", error=name)
         self.counts[f"accept {name}"] += 1
         if number in SHORTAGES:
+            if make_room := getattr(self.factory, "make_room", None):
+                make_room()
             self._rest()
             return False
         return True  # the connection that it concerned is off the queue; the next one may be well
@@ -143,8 +145,6 @@
         if self._resting is not None or self.disconnecting:
             return
         self.stopReading()
-        if make_room := getattr(self.factory, "make_room", None):
-            make_room()
         self._resting = self.reactor.callLater(PAUSE_MS / 1e3, self._rested)
 
     def _rested(self) -> None:
--- a/petrelway/worker/serving.py
+++ b/petrelway/worker/serving.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from ..sockets.listening import listen_tcp
 from ..wire import codec
 from ..wire.framing import Frames, WireFault
 from .copies import CopyProcess
@@ -22,6 +23,7 @@
 from .images import Images
 from .package import PackageFault
 
+LINKS_BACKLOG = 256
 LINKS_BOUND = 1024  # front ends at a time
 BUFFER_BYTES = 1 << 18
 CLOGGED_MS = 5000.0  # a front end that takes no byte for so long is left
@@ -185,7 +187,7 @@
         factory = protocol.Factory()
         factory.noisy = False
         factory.buildProtocol = lambda _: FrontLink(self) if len(self.links) < LINKS_BOUND else None
-        self.port = self.reactor.listenTCP(self.port_number, factory, backlog=256, interface=self.address)
+        self.port = listen_tcp(self.reactor, self.port_number, factory, LINKS_BACKLOG, self.address, self.log)
         self._later("measure", self.measure_ms, self._measure)
         self._later("recheck", self.recheck_ms, self._recheck)
         self.log.info(
