A turn's own reading of the clock is no step back

Cause: what ends within a turn is told with a later reading than the turn's next decision, which the module's guard took for a step back, so that a second was taken from all that was open, again and again.

--- a/petrelway/front/host.py
+++ b/petrelway/front/host.py
@@ -166,11 +166,14 @@
         self.counts: Counter[str] = Counter()
         self.turn = self.wake = None
         self.turning = False
+        self.turn_ms: float | None = None  # the present, while a turn goes on
         self.idle: defer.Deferred[None] | None = None
         self.watch: Watch | None = None  # hears what passes; asks nothing
 
     def now(self) -> float:
-        return self.clock.seconds() * 1e3
+        """The present; within a turn its beginning: what ends in it must not be later than what it decides.
+        Danger: with a present that moves on, a turn with much to look at again would never end."""
+        return self.clock.seconds() * 1e3 if self.turn_ms is None else self.turn_ms
 
     # -- inputs
 
@@ -384,7 +387,7 @@
             self.turn.cancel()
         self.turn, self.turning = None, True
         failures = 0
-        now = self.now()
+        now = self.turn_ms = self.now()
         while True:
             began = self.meter() if self.meter else 0.0
             try:
@@ -400,7 +403,7 @@
             if decision is None:
                 break
             self._carry_out(decision, now)
-        self.turning = False
+        self.turning, self.turn_ms = False, None
         if failures >= FAILURES_BOUND:  # danger: no wake was asked for: what is left would wait for ever
             self._wake_at(now + AGAIN_MS, now)
         free = self.front_end.released()
--- a/tests/test_forward_clock.py
+++ b/tests/test_forward_clock.py
@@ -4,6 +4,7 @@
 
 import pytest
 from helpers import Host, verbs
+from test_host import Rig
 
 from petrelway.interface import Effect, Outcome, Part, Verb, Warmth
 
@@ -93,3 +94,32 @@
     host.now -= 3_600_000.0
     host.pull(500.0)
     assert host.fe.gate.share(host.fe.clock.enter(host.now)) == 0.25
+
+
+def test_what_ends_within_a_turn_is_no_step_back():
+    """Danger: a turn's own reading, older by a moment, passed for a step, and a second was taken from all."""
+    host = Host(2)
+    trigger = host.take(remaining=1500.0)
+    assert "SEND" in verbs(host.pull())
+    turn = host.now
+    host.now += 3.0
+    host.end(trigger, Outcome.RESET, executor=0)
+    assert host.fe.decide(turn).verb is Verb.SEND
+    assert host.fe.clock.enter(host.now) == host.now
+
+
+def test_all_that_happens_in_a_turn_happens_at_its_beginning():
+    rig = Rig(2)
+    seen, decide = [], rig.host.front_end.decide
+
+    def slowly(now):
+        seen.append((now, rig.host.now()))
+        rig.clock.rightNow += 0.7  # a stall within the turn
+        return decide(now)
+
+    rig.host.front_end.decide = slowly
+    began = rig.host.now()
+    rig.take()
+    rig.step()
+    assert len(seen) > 1 and set(seen) == {(began, began)}
+    assert rig.host.now() > began + 700.0  # and it goes on after it
