--- a/petrelway/clock.py
+++ b/petrelway/clock.py
@@ -13,6 +13,7 @@
 import functools
 import math
 import os
+import sys
 import time
 from collections.abc import Callable
 
@@ -71,7 +72,11 @@
 
 
 def steady_reactor():
-    """Twisted's reactor on this process's clock: the only way to one."""
+    """This process's reactor, on its clock: the only way to one. Raises OSError if the system is short."""
+    if "twisted.internet.reactor" not in sys.modules:
+        from .sockets.reactor import install
+
+        install()
     from twisted.internet import reactor
 
     reactor.seconds = process_clock().seconds
--- a/petrelway/commands/fronts.py
+++ b/petrelway/commands/fronts.py
@@ -68,6 +68,7 @@
             f"{file}: log.file: found {wanted.file!r} ({problem.strerror}); allowed: a file "
             "that can be written"
         ) from problem
+    logs.library_errors(log)
     if policy not in POLICIES:
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
     # the pass-through has no state to watch: it is the bare intake, host and links
--- a/petrelway/commands/nodes.py
+++ b/petrelway/commands/nodes.py
@@ -66,6 +66,7 @@
     except (PlatformFault, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=told.name)
+    errors = logs.library_errors(log)
     front = NodeService(
         reactor,
         told,
@@ -74,6 +75,7 @@
         peers=peers,
         unix_ahead_s=process_clock().unix_ahead_s,
         patiently=patiently,
+        library_errors=errors.counts,
     )
     try:
         front.startService()
--- a/petrelway/commands/workers.py
+++ b/petrelway/commands/workers.py
@@ -39,6 +39,7 @@
     place, listen, wanted = found["worker"], found["listen"], found["log"]
     loads, calls, copies = found["loads"], found["calls"], found["copies"]
     log, _ = logs.start(wanted.form, wanted.level, wanted.file, worker=place.name)
+    logs.library_errors(log)
     written = None
     if record:
         from ..standin.records import Record
--- a/petrelway/logs.py
+++ b/petrelway/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from collections import deque
+from collections import Counter, deque
 from typing import Any, TextIO
 
 import structlog
@@ -15,6 +15,8 @@
 
 LINES_BOUND = 5000  # lines that wait to be written
 BATCH = 50  # lines written in one step
+KINDS_BOUND = 64  # kinds of errors in libraries that are written out
+TRACE_CHARACTERS = 4000
 
 
 class Lines:
@@ -81,6 +83,35 @@
         self.at_once = True
 
 
+class LibraryErrors:
+    """What Twisted would print as a traceback: one structured line for each kind, then only a count."""
+
+    def __init__(self, log) -> None:
+        self.log = log
+        self.counts: Counter[str] = Counter()
+
+    def __call__(self, event: dict[str, Any]) -> None:
+        """A Twisted log observer."""
+        failure = event.get("log_failure")
+        if failure is None and not event.get("isError"):
+            return
+        kind = type(failure.value).__name__ if failure is not None else "error"
+        place = str(event.get("log_namespace", ""))
+        self.counts[f"{place}: {kind}"] += 1
+        if self.counts[f"{place}: {kind}"] == 1 and len(self.counts) <= KINDS_BOUND:
+            trace = failure.getTraceback() if failure is not None else str(event.get("log_format", ""))
+            self.log.error("error in a library", kind=kind, place=place, trace=trace[-TRACE_CHARACTERS:])
+
+
+def library_errors(log) -> LibraryErrors:
+    """From now on Twisted's errors go to this log."""
+    from twisted.logger import globalLogBeginner
+
+    observer = LibraryErrors(log)
+    globalLogBeginner.beginLoggingTo([observer], discardBuffer=True, redirectStandardIO=False)
+    return observer
+
+
 def start(
     form: str, level: str, path: str = "", stream: TextIO | None = None, **bound: Any
 ) -> tuple[structlog.typing.FilteringBoundLogger, Lines]:
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -23,6 +23,7 @@
 from ..platform.lines import Asks
 from ..platform.passed import Passed
 from ..platform.told import Told, read_peers, read_told
+from ..sockets.descriptors import descriptors
 from ..sockets.listening import Listener, listen_tcp
 from .door import ABORT_MS, Door
 from .follower import Follower
@@ -69,6 +70,7 @@
         peers: bool = False,
         unix_ahead_s: Callable[[], float] = lambda: 0.0,
         patiently: Callable[[Callable], Any] = lambda make: make(),
+        library_errors: Counter[str] | None = None,
     ) -> None:
         """`read` gives the configuration's bytes anew, at SIGHUP; raises OSError. `peers`: know the other
         front ends, where the settings permit words to them. `unix_ahead_s`: how far the wall clock has been
@@ -82,6 +84,7 @@
         self.stopping = False
         self.wants_peers, self.fleet = peers, None
         self.unix_ahead_s, self.patiently = unix_ahead_s, patiently
+        self.library_errors = library_errors if library_errors is not None else Counter()
 
     def now(self) -> float:
         return self.reactor.seconds() * 1e3
@@ -90,9 +93,10 @@
         """Raises twisted.internet.error.CannotListenError, or PlatformFault if `known` can't be read."""
         told, terms = self.told, self.told.terms
         chance = random.Random(f"{told.seed}/{told.name}/node")
+        sockets = descriptors(told.sockets)
         # danger: under few descriptors the share is less than the third that clients may hold
-        clients = max(int(CLIENTS_SHARE * (told.sockets - OWN_DESCRIPTORS)), told.sockets // 3 + 1)
-        self.room = Room(told.sockets - OWN_DESCRIPTORS - clients)
+        clients = max(int(CLIENTS_SHARE * (sockets - OWN_DESCRIPTORS)), sockets // 3 + 1)
+        self.room = Room(sockets - OWN_DESCRIPTORS - clients)
         self.host = Host(
             self.reactor,
             terms.front_end(self.now(), told.seed),
@@ -110,7 +114,7 @@
             unix_ahead_s=self.unix_ahead_s,
         )
         portions = [c.portion for c in terms.customers]
-        self.shedder = Shedder(portions, LAG_BOUND_MS, OPEN_BOUND, BUFFERED_BOUND, told.sockets, chance)
+        self.shedder = Shedder(portions, LAG_BOUND_MS, OPEN_BOUND, BUFFERED_BOUND, sockets, chance)
         tariffs = [
             (name, t.outer_ms, t.effect is Effect.STAMPED)
             for name, t in zip(terms.tariff_names, terms.tariffs)
@@ -139,7 +143,7 @@
             "front end started",
             address=told.address,
             port=told.port,
-            sockets=told.sockets,
+            sockets=sockets,
             memory_mb=told.memory_mb,
             executors=len(self.host.links),
         )
@@ -308,6 +312,7 @@
             "listener": dict(sorted(getattr(self.port, "counts", {}).items())),
             "links": dict(sorted(self.room.counts.items())),
             "shed": dict(sorted(self.shedder.nacked.items())),
+            "libraries": dict(sorted(self.library_errors.items())),
             "configurations": dict(sorted(self.counts.items())),
             "members": self.fleet.figures() if self.fleet is not None else {},
         }
--- a/petrelway/sockets/listening.py
+++ b/petrelway/sockets/listening.py
@@ -12,13 +12,13 @@
 from collections import Counter
 from typing import Protocol
 
-from twisted.internet import defer, error, interfaces, tcp
+from twisted.internet import defer, interfaces, main, tcp
 
 NOBODY_WAITS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC})
+TRY_AGAIN = NOBODY_WAITS | SHORTAGES
 ACCEPTS_A_TURN = 100  # then the connections that are there are read
 PAUSE_MS = 5.0  # in a shortage, before accepting is tried again
-AGAIN_MS = 5.0  # before the poller is asked again to watch a connection
 DRAIN_BOUND_MS = 1000.0  # a listener that closes takes in all that wait, for so long at most
 
 
@@ -35,63 +35,31 @@
     return errno.errorcode.get(number or 0, str(number))
 
 
-class WatchedTransport(tcp.Server):
-    """A client's connection. Danger: `epoll_ctl` may fail for want of memory; the connection would then stay
-    open and unread for ever. A `recv` that fails so is no end of the connection."""
-
-    _watch_read = _watch_write = False
-
-    def startReading(self) -> None:
-        self._watch_read = True
-        self._watch()
-
-    def stopReading(self) -> None:
-        self._watch_read = False
-        super().stopReading()
-
-    def startWriting(self) -> None:
-        self._watch_write = True
-        self._watch()
-
-    def stopWriting(self) -> None:
-        self._watch_write = False
-        super().stopWriting()
-
-    def _watch(self) -> None:
-        if not hasattr(self, "socket"):
-            return  # it has ended meanwhile
-        try:
-            if self._watch_read:
-                super().startReading()
-            if self._watch_write:
-                super().startWriting()
-        except OSError as problem:
-            if problem.errno not in SHORTAGES:
-                raise
-            self.reactor.callLater(AGAIN_MS / 1e3, self._watch)
+class PatientReads:
+    """A transport whose `recv` or `send` may fail for want of memory: that is no end of the connection."""
 
     def doRead(self):
         try:
             data = self.socket.recv(self.bufferSize)
         except OSError as problem:
-            if problem.errno in NOBODY_WAITS or problem.errno in SHORTAGES:
-                return None
-            return error.ConnectionLost(f"recv: {error_name(problem.errno)}")
+            return None if problem.errno in TRY_AGAIN else main.CONNECTION_LOST
         return self._dataReceived(data)
 
     def writeSomeData(self, data):
         try:
             return self.socket.send(memoryview(data)[: self.SEND_LIMIT])
         except OSError as problem:
-            if problem.errno in NOBODY_WAITS or problem.errno in SHORTAGES:
-                return 0
-            return error.ConnectionLost(f"send: {error_name(problem.errno)}")
+            return 0 if problem.errno in TRY_AGAIN else main.CONNECTION_LOST
+
+
+class ClientTransport(PatientReads, tcp.Server):
+    """An accepted connection."""
 
 
 class Listener(tcp.Port):
     """A listening port of this program. Counts what `accept` failed with; says each kind once."""
 
-    transport = WatchedTransport
+    transport = ClientTransport
 
     def __init__(self, port: int, factory, backlog: int, interface: str, reactor, log) -> None:
         super().__init__(port, factory, backlog, interface, reactor)
@@ -154,10 +122,7 @@
         if not self._has_room():
             self._rest()
             return
-        try:
-            self.startReading()
-        except OSError:
-            self._resting = self.reactor.callLater(PAUSE_MS / 1e3, self._rested)
+        self.startReading()
 
     def nobody_waits(self) -> defer.Deferred[None]:
         """Fires when all that had connected were accepted, or after a bound. Danger: closing the listener
--- a/tests/test_worker_process.py
+++ b/tests/test_worker_process.py
@@ -270,6 +270,7 @@
     rig.package("slow")
     rig.front.send(function="slow")
     until(lambda: list((rig.tmp / "images").glob(".half-*")), "no fetch under way")
+    until(lambda: rig.shelf.counts["fetches"] == 2, "no fetch has come")  # the file stands before it is sent
     rig.process.kill()
     rig.process.wait()
     gone = lambda p: not p.is_running() or p.status() == psutil.STATUS_ZOMBIE  # noqa: E731
