Reproduction: work sent to draining executors while discovery is out of reach (fails)

Seen in staging: sends to draining executors past the told time and the grace while discovery was out of reach.

--- a/petrelway/fakes/platform_peers.py
+++ b/petrelway/fakes/platform_peers.py
@@ -192,6 +192,9 @@
             pass  # the other side has gone, or `close`
 
     def close(self) -> None:
+        """Refuse connections from now on, and end all; once more changes nothing."""
+        if self.sock.fileno() < 0:
+            return
         self.sock.shutdown(socket.SHUT_RDWR)
         self.threads[0].join()
         for wire in self.wires:
@@ -206,13 +209,16 @@
 
 
 class Executor(Standin):
-    """Answers each request with its body turned round, one at a time on a connection, orders with one copy.
+    """Answers each request with its body turned round, one at a time on a connection, orders with one copy,
+    probes by its health. While it drains it turns requests away.
 
-    `told` keeps what it was told.
+    `told` keeps what it was told, `arrivals_s` when each first byte of that was read.
     """
 
     def __init__(self, work_ms: float = 0.0) -> None:
         self.work_ms, self.told = work_ms, []
+        self.arrivals_s: list[float] = []
+        self.draining = False
         super().__init__()
 
     def requested(self, wire: socket.socket, id: bytes, body: bytes) -> None:
@@ -223,9 +229,19 @@
         """Ids of the requests that arrived, in order."""
         return [id.hex() for code, id, _, _ in list(self.told) if code == 10]
 
+    def request_arrivals_s(self) -> list[float]:
+        """When each request's first byte was read, by the monotonic clock."""
+        return [at for at, told in zip(list(self.arrivals_s), list(self.told), strict=False) if told[0] == 10]
+
+    def probes(self) -> int:
+        """How many probes arrived."""
+        return sum(told[0] in (12, 13) for told in list(self.told))
+
     def serve(self, wire: socket.socket) -> None:
         held = b""
+        began_s = 0.0
         while data := wire.recv(65536):
+            began_s = began_s if held else time.monotonic()
             held += data
             while len(held) >= 20:
                 size = 20 + int.from_bytes(held[2:4], "big") + int.from_bytes(held[4:8], "big")
@@ -233,12 +249,21 @@
                     break
                 (command,) = commands(held[:size])
                 held = held[size:]
+                self.arrivals_s.append(began_s)
                 self.told.append(command)
-                code, id, _, body = command
-                if code == 10:
-                    self.requested(wire, id, body)
-                elif code == 14:
-                    wire.sendall(answer(100, id, b"count=1"))
+                self.commanded(wire, command)
+
+    def commanded(self, wire: socket.socket, command: tuple[int, bytes, dict[str, str], bytes]) -> None:
+        """Answer one command."""
+        code, id, _, body = command
+        if code == 10 and self.draining:
+            wire.sendall(answer(103, id))
+        elif code == 10:
+            self.requested(wire, id, body)
+        elif code in (12, 13):
+            wire.sendall(answer(107 if self.draining else 106, id))
+        elif code == 14:
+            wire.sendall(answer(100, id, b"count=1"))
 
 
 class Holder(Executor):
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -86,10 +86,12 @@
     )
 
 
-def settings(limits=None, classes=None):
-    """The fakes' deployment with other limits, and other figures of its classes by name."""
+def settings(limits=None, classes=None, invariants=None, family=None):
+    """The fakes' deployment with other limits, rules, properties, and figures of its classes by name."""
     told = copy.deepcopy(SETTINGS)
     told["limits"].update(limits or {})
+    told["invariants"].update(invariants or {})
+    told["familyInfo"].update(family or {})
     for each in told["classes"]:
         each.update((classes or {}).get(each["name"], {}))
     return told
