Executors count as ready for a term; without discovery their own answers renew it

Cause: the endpoint list had no end, so what drained while discovery was out of reach was sent to as before; the grace (stopSendingWithinS) was not even read. Change: routing/endpoint_lease.py; the list's lease runs to the time by which its gaps count as notified plus the grace, an executor's own answer renews its lease from the moment of sending, else it is probed before it gets work; orders to load, hedges and what waited for a connection pass the same gate; an executor whose connections all ended meanwhile starts slowly.

--- a/petrelway/common/deployment_settings.py
+++ b/petrelway/common/deployment_settings.py
@@ -13,6 +13,7 @@
 from ..routing.router import FrontEnd
 from ..routing.types import (
     Capabilities,
+    DrainRule,
     FleetPosition,
     Idempotency,
     LoadingSettings,
@@ -48,6 +49,7 @@
     streams: int  # attempts that one connection may carry together
     connect_ms: float  # a connection that is not up by then counts as unreachable
     idle_ms: float  # idle connections are closed after this time
+    drain_rule: DrainRule = DrainRule(0.0)
 
     def front_end(self, now: float, seed: int) -> FrontEnd:
         """Make the routing core under these settings."""
@@ -61,6 +63,7 @@
             self.keeping,
             self.cold,
             self.ration,
+            self.drain_rule,
         )
 
 
@@ -249,4 +252,5 @@
         limits.integer("multiplex", 1, 10**6),
         limits.number("connectTimeoutS", 1e3, SHORTEST_S, LONGEST_S),
         limits.number("idleCloseS", 1e3, SHORTEST_S, LONGEST_S),
+        DrainRule(rules.number("stopSendingWithinS", 1e3, 0.0, LONGEST_S, 0.0)),
     )
--- a/petrelway/emulator/executor_channel.py
+++ b/petrelway/emulator/executor_channel.py
@@ -255,6 +255,9 @@
         if wire.life.machine is not None:
             wire.life.machine.unload(function)
 
+    def forget_probe(self, id: int) -> None:
+        """No probe is answered late here."""
+
     def forget_load_request(self, id: int) -> bool:
         return self.load_requests.pop(id, None) is not None
 
--- a/petrelway/gateway/attempt_reasons.py
+++ b/petrelway/gateway/attempt_reasons.py
@@ -6,12 +6,24 @@
 from __future__ import annotations
 
 from ..routing.router import FrontEnd
+from ..routing.state import Executor, Request
 
 
 def why_sent(front_end: FrontEnd, request_index: int, executor_index: int, number: int) -> str:
     """Return the reason of an attempt that was decided this moment."""
     request = front_end.requests[request_index]
     executor = front_end.executors[executor_index]
+    return _choice_reason(front_end, request, executor, number) + _lease_reason(front_end, executor)
+
+
+def _lease_reason(front_end: FrontEnd, executor: Executor) -> str:
+    """On whose word the executor counts as ready, where discovery's has run out."""
+    leases = front_end.gate.leases
+    now = front_end.clock.latest()
+    return "" if leases.list_holds(now) else f", ready by {leases.basis(executor, now)}"
+
+
+def _choice_reason(front_end: FrontEnd, request: Request, executor: Executor, number: int) -> str:
     function = request.function
     beside = sum(1 for other in request.in_flight if other != number)
     if beside:
--- a/petrelway/gateway/channel_base.py
+++ b/petrelway/gateway/channel_base.py
@@ -51,6 +51,10 @@
         """A health check ended."""
         ...
 
+    def executor_disconnected(self, executor: int) -> None:
+        """The executor's side ended the last connection to it: its process may be another one next time."""
+        ...
+
 
 class QuestionKind(Enum):
     """What an executor is asked besides attempts."""
--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -33,10 +33,18 @@
 from .executor_directory import ExecutorDirectory
 from .function_spec import FunctionSpec
 from .observers import RequestObserver
-from .pending_requests import AttemptInFlight, LoadRequestInFlight, PendingAnswer, PendingRequest
+from .pending_requests import (
+    AttemptInFlight,
+    LoadRequestInFlight,
+    PendingAnswer,
+    PendingRequest,
+    ProbeInFlight,
+)
 from .reactor_turns import ReactorTurns
 
 DECISION_FAILURES_BOUND = 50  # decisions that may fail in one turn before every unanswered request fails
+PROBE_TIMEOUT_MS = 1000.0  # a probe without an answer has failed then, and its connection is distrusted
+TURN_PAUSE_MS = 20.0  # a turn that took so long was interrupted: what it decided is checked again
 DECISION_RETRY_MS = 100.0  # and then decisions are pulled again
 
 
@@ -81,6 +89,7 @@
         self.pending: dict[int, PendingRequest] = {}  # by the request's index
         self.known_functions: dict[int, FunctionSpec] = {}  # by the function's index
         self.load_requests: dict[int, LoadRequestInFlight] = {}  # by the id that executors are given
+        self.probes: dict[int, ProbeInFlight] = {}  # by the id that channels are given
         self.serial = 0
         self.load_request_id = 0
         self.unanswered = 0
@@ -189,6 +198,14 @@
         self.front_end.executors_listed(now, endpoints, complete)
         self.turns.schedule()
 
+    def endpoint_list_confirmed(self, confirmed_ms: float, notified_ms: float) -> None:
+        """The endpoint list was complete then; later changes count as notified by `notified_ms`."""
+        self.front_end.endpoint_list_confirmed(self.now(), confirmed_ms, notified_ms)
+
+    def endpoint_list_unconfirmed(self, notified_ms: float) -> None:
+        """What the endpoint list lacks counts as notified by then, if not sooner."""
+        self.front_end.endpoint_list_unconfirmed(self.now(), notified_ms)
+
     def _open_channel(self, index: int, entry: EndpointEntry) -> ExecutorChannel:
         return self.make_channel(
             index,
@@ -274,8 +291,20 @@
         self.turns.schedule()
 
     def probe_answered(self, executor: int, probe: int, outcome: Outcome, load: codec.LoadReport) -> None:
-        """Count an answered health check; the routing core asks for none yet."""
+        """End a health check with its outcome; one that has ended already is ignored."""
+        found = self.probes.pop(probe, None)
+        if found is None:
+            return
+        if found.timer is not None and found.timer.active():
+            found.timer.cancel()
         self.counts["probed"] += 1
+        now = self.now()
+        self.front_end.probe_answered(now, executor, outcome, now - found.sent_ms)
+        self.turns.schedule()
+
+    def executor_disconnected(self, executor: int) -> None:
+        """Note that the executor's side ended the last connection to it."""
+        self.front_end.executor_disconnected(self.now(), executor)
 
     def _client_left(self, request: PendingRequest) -> None:
         self._forget_answer(request)
@@ -411,7 +440,22 @@
 
     def _carry_out_probe(self, decision: Action, now: float) -> None:
         self.load_request_id += 1
-        self.channels[decision.executor].probe(self.load_request_id)
+        probe = self.load_request_id
+        executor = decision.executor
+        self.probes[probe] = ProbeInFlight(executor, now)
+        failed = self.channels[executor].probe(probe)
+        if failed is not None:
+            self.probe_answered(executor, probe, failed, codec.LoadReport())
+            return
+        self.probes[probe].timer = self.clock.callLater(
+            PROBE_TIMEOUT_MS / 1e3, self._probe_timed_out, executor, probe
+        )
+
+    def _probe_timed_out(self, executor: int, probe: int) -> None:
+        channel = self.channels.get(executor)
+        if channel is not None:
+            channel.forget_probe(probe)
+        self.probe_answered(executor, probe, Outcome.TIMEOUT, codec.LoadReport())
 
     def _send(self, request: PendingRequest, executor: int, limit_ms: float, now: float) -> None:
         number = request.sent
@@ -422,6 +466,9 @@
         if remaining_ms <= 0.0 or request.answer is None:
             self.attempt_ended(executor, key, Outcome.UNSENT, 0, 0, codec.LoadReport(), "", b"")
             return
+        if not self._still_allowed(request, number, now):
+            self.attempt_ended(executor, key, Outcome.UNSENT, 0, 0, codec.LoadReport(), "", b"")
+            return
         wait_ms = min(limit_ms, remaining_ms) if limit_ms > 0.0 else remaining_ms
         attempt.timer = self.clock.callLater(wait_ms / 1e3, self._attempt_timed_out, request, number)
         function = request.function
@@ -439,6 +486,13 @@
             request.body,
         )
 
+    def _still_allowed(self, request: PendingRequest, number: int, now: float) -> bool:
+        """Check again after a pause of the process within this turn: what was decided before may be over."""
+        really_ms = self.clock.seconds() * 1e3
+        if really_ms - now < TURN_PAUSE_MS:
+            return True
+        return self.front_end.may_still_send(really_ms, request.index, number)
+
     def _attempt_timed_out(self, request: PendingRequest, number: int) -> None:
         request.in_flight[number].timer = None
         self._cancel_attempt(request, number, Outcome.TIMEOUT)
@@ -516,6 +570,9 @@
         for load_request in self.load_requests.values():
             if load_request.timer is not None and load_request.timer.active():
                 load_request.timer.cancel()
+        for probe in self.probes.values():
+            if probe.timer is not None and probe.timer.active():
+                probe.timer.cancel()
         for request in list(self.pending.values()):
             for number in sorted(request.in_flight):
                 self._cancel_attempt(request, number)
--- a/petrelway/gateway/executor_channel.py
+++ b/petrelway/gateway/executor_channel.py
@@ -162,6 +162,10 @@
         """Its time is up; return False if it has ended."""
         return self.load_requests.pop(id, None) is not None
 
+    def forget_probe(self, id: int) -> None:
+        """Its time is up."""
+        self.load_requests.pop(id, None)
+
     def moved(self, address: str, port: int) -> None:
         """The registry names another place for the same executor."""
         if (address, port) != (self.address, self.port):
--- a/petrelway/gateway/pending_requests.py
+++ b/petrelway/gateway/pending_requests.py
@@ -33,6 +33,15 @@
     timer: interfaces.IDelayedCall | None = None
 
 
+@dataclass(eq=False, slots=True)
+class ProbeInFlight:
+    """A health check that a channel was given."""
+
+    executor: int
+    sent_ms: float
+    timer: interfaces.IDelayedCall | None = None
+
+
 class PendingAnswer(defer.Deferred):
     """The one final answer of a request. Cancelling it says that the client has left."""
 
--- a/petrelway/node/connection_set.py
+++ b/petrelway/node/connection_set.py
@@ -135,6 +135,8 @@
     def connection_lost(self, connection: ExecutorConnectionProtocol, reason: EndReason) -> None:
         """Handle a connection that never came up, or that the other side ended."""
         now = self.now()
+        if connection.up and not any(c.up for c in self.connections if c is not connection):
+            self.listener.executor_disconnected(self.executor)
         unused = not connection.open_attempts and not connection.questions
         if connection.up and unused and now - connection.up_ms >= RESTING_AFTER_MS:
             # taken for an outage, it would keep requests from a healthy executor
--- a/petrelway/node/discovery.py
+++ b/petrelway/node/discovery.py
@@ -1,14 +1,15 @@
 """The discovery client: follows the platform's event bus and keeps the dispatcher's endpoint list up to date.
 
-It resumes after the last complete event. While the bus can't be reached the last list stays in use. Created
-by `service.py`. Times in ms.
+It resumes after the last complete event. While the bus can't be reached the last list stays in use, and the
+dispatcher is told by when what the list lacks counts as notified (the protocol page's clock). Created by
+`service.py`. Times in ms.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet import interfaces, protocol
 from twisted.python.failure import Failure
@@ -23,10 +24,23 @@
 HEARTBEAT_TIMEOUT_MS = 1700.0  # the bus sends a heartbeat each second; without one for so long it is down
 RECHECK_DELAY_MS = 20.0  # a bus that seems silent is checked again after so long
 STABLE_AFTER_MS = 1000.0  # a connection on which events still come after this time is healthy
+# What the bus would have told counts as notified so long after it fell silent, or broke off ...
+NOTIFIED_AFTER_SILENCE_MS = 4000.0
+NOTIFIED_AFTER_BREAK_MS = 2000.0  # ... and at once when this side asks again
 MIN_RETRY_MS = 50.0
 MAX_RETRY_MS = 1000.0
 
 
+class ListValidity(Protocol):
+    """Who is told how far the endpoint list may be relied on; the dispatcher."""
+
+    def endpoint_list_confirmed(self, confirmed_ms: float, notified_ms: float) -> None:
+        """The list was complete then; what changes later counts as notified by `notified_ms`."""
+
+    def endpoint_list_unconfirmed(self, notified_ms: float) -> None:
+        """What the list lacks counts as notified by then, if not sooner."""
+
+
 class DiscoveryProtocol(protocol.Protocol):
     """One connection to the event bus, from the dial on."""
 
@@ -69,6 +83,7 @@
         connect: Callable,
         random_source: random.Random,
         endpoints_changed: Callable[[list[EndpointEntry], bool], None],
+        validity: ListValidity,
         log,
     ) -> None:
         """Take the bus's endpoint, and whom to tell.
@@ -81,6 +96,9 @@
         self.clock = clock
         self.connect = connect
         self.endpoints_changed = endpoints_changed
+        self.validity = validity
+        self.last_turn_ms = self.now()  # of the reactor ...
+        self.turn_before_ms = self.last_turn_ms  # ... and the one before it
         self.log = log
         self.backoff = Backoff(random_source, MIN_RETRY_MS, MAX_RETRY_MS)
         self.number = 0  # of the last complete event
@@ -94,6 +112,15 @@
         self.closed = False
         self.stable = True  # events came for a while: the first retry after a failure goes without delay
 
+    def now(self) -> float:
+        """Give the clock's time in ms."""
+        return self.clock.seconds() * 1e3
+
+    def loop_turned(self) -> None:
+        """Note that the reactor goes round; the owner calls it at a short interval."""
+        self.turn_before_ms = self.last_turn_ms
+        self.last_turn_ms = self.now()
+
     def start(self, initial_events: Any) -> None:
         """Read the events that the configuration holds, then follow.
 
@@ -101,6 +128,8 @@
         """
         if initial_events:
             DiscoveryEventReader(self.zones, self.machines, self).read_initial_events(initial_events)
+        now = self.now()
+        self.validity.endpoint_list_confirmed(now, now)  # an outage may have begun before
         self._dial()
 
     # -- events (platform.discovery_codec.DiscoveryEventHandler)
@@ -123,6 +152,14 @@
             self.number = max(self.number, number)  # the end of the initial events
         elif number > self.number:
             self._gap_found(f"heartbeat after {number}, received up to {self.number}: a gap")
+        elif number == self.number:
+            self._list_confirmed()
+
+    def _list_confirmed(self) -> None:
+        """Nothing is missing as of this heartbeat. It may have lain in the socket through a pause of this
+        process: it counts from the turn before, when the socket was read last and held nothing."""
+        heard_ms = self.turn_before_ms
+        self.validity.endpoint_list_confirmed(heard_ms, heard_ms + NOTIFIED_AFTER_SILENCE_MS)
 
     def _gap_found(self, text: str) -> None:
         """Resume from the last complete event, once for each: the lost change could be a drain."""
@@ -175,6 +212,7 @@
         connection.connected_ms = self.clock.seconds() * 1e3
         self.connect_attempt = None
         connection.transport.write(encode_resume(self.number))
+        self.validity.endpoint_list_unconfirmed(self.now())
         self._restart_silence_timer()
 
     def _restart_silence_timer(self) -> None:
@@ -197,6 +235,7 @@
         if connection.abandoned or self.closed:
             return
         self._abandon_connection()
+        self.validity.endpoint_list_unconfirmed(self.turn_before_ms + NOTIFIED_AFTER_BREAK_MS)
         if not self.outage_logged:
             self.log.warning(
                 "event bus down",
--- a/petrelway/node/executor_pool.py
+++ b/petrelway/node/executor_pool.py
@@ -172,6 +172,16 @@
                     return True
         return False
 
+    def forget_probe(self, id: int) -> None:
+        """Stop waiting for a probe; a connection on which it got no answer takes nothing new."""
+        for connection in list(self.connections):
+            for wire_id, pending in list(connection.questions.items()):
+                if pending == PendingQuestion(id, QuestionKind.PROBE):
+                    del connection.questions[wire_id]
+                    connection.abandon_id(wire_id)
+                    connection.retiring = True
+                    connection.end_if_retired()
+
     # -- changes of the endpoint list
 
     def moved(self, address: str, port: int) -> None:
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -72,6 +72,7 @@
         self.connect = connect or connector(reactor)
         self.port = None
         self.pulse_call = None
+        self.list_lapsed = False  # discovery's word on which executors are ready has run out
         self.stopping = False
         self.wants_peers = peers
         self.membership: MembershipService | None = None
@@ -175,6 +176,7 @@
             self.connect,
             random_source,
             self.endpoints_changed,
+            self.dispatcher,
             self.log,
         )
 
@@ -265,11 +267,31 @@
         dispatcher = self.dispatcher
         self.admission.lag_measured(now - due_ms)
         dispatcher.check_wall_clock()
+        self.discovery.loop_turned()
+        self._report_list_validity(now)
         connections = len(self.client_listener.connections)
         self.admission.load_measured(dispatcher.unanswered, dispatcher.unanswered_bytes, connections)
         next_due_ms = now + PULSE_INTERVAL_MS
         self.pulse_call = self.reactor.callLater(PULSE_INTERVAL_MS / 1e3, self._pulse, next_due_ms)
 
+    def _report_list_validity(self, now: float) -> None:
+        """Log once when discovery's word runs out, and once when it holds again."""
+        leases = self.dispatcher.front_end.gate.leases
+        lapsed = not leases.list_holds(now)
+        if lapsed is self.list_lapsed:
+            return
+        self.list_lapsed = lapsed
+        figures = {
+            "confirmed_ms_ago": round(now - leases.confirmed_ms),
+            "number": self.discovery.number,
+            "leases": dict(sorted(leases.counts.items())),
+        }
+        if lapsed:
+            ready = len(self.dispatcher.front_end.ready)
+            self.log.warning("endpoint list lapsed", listed=ready, probes=leases.probes, **figures)
+        else:
+            self.log.info("endpoint list confirmed", **figures)
+
     # -- signals
 
     def reload(self) -> None:
@@ -314,6 +336,7 @@
             "clients": dict(sorted(self.client_listener.counts.items())),
             "listener": dict(sorted(getattr(self.port, "counts", {}).items())),
             "executors": dict(sorted(self.connection_budget.counts.items())),
+            "leases": dict(sorted(self.dispatcher.front_end.gate.leases.counts.items())),
             "shed": dict(sorted(self.admission.shedder.rejected.items())),
             "libraries": dict(sorted(self.library_errors.items())),
             "configurations": dict(sorted(self.reloader.counts.items())),
--- a/petrelway/routing/inputs.py
+++ b/petrelway/routing/inputs.py
@@ -144,6 +144,7 @@
         executor.adjust_load(-attempt.busy)
         if not self.loading_settings.answers_miss:
             executor.loaded(known.function.index)
+        self.gate.leases.answered(executor, outcome, attempt.sent_ms, now)
         if outcome not in NEVER_RAN:
             known.possible_runs.append(attempt.possible_run())
         known.answered = known.answered or finished
@@ -171,6 +172,34 @@
             self._record_load(loaded, took_ms)
         self.ready_queue.extend(loaded.waiting)
 
+    def endpoint_list_confirmed(self, now: float, confirmed_ms: float, notified_ms: float) -> None:
+        """The endpoint list was complete at `confirmed_ms`; what changes later counts as notified by
+        `notified_ms`."""
+        self.clock.enter(now)
+        to_local = self.clock.to_local
+        self.gate.leases.list_confirmed(to_local(confirmed_ms), to_local(notified_ms))
+
+    def endpoint_list_unconfirmed(self, now: float, notified_ms: float) -> None:
+        """What the endpoint list lacks counts as notified by `notified_ms`, if not sooner."""
+        self.clock.enter(now)
+        self.gate.leases.list_unconfirmed(self.clock.to_local(notified_ms))
+
+    def executor_disconnected(self, now: float, executor: int) -> None:
+        """The last connection to an executor was ended by the other side."""
+        now = self.clock.enter(now)
+        if known := self.executors.get(executor):
+            known.disconnected_ms = now
+
+    def probe_answered(self, now: float, executor: int, outcome: Outcome, took_ms: float) -> None:
+        """A probe ended, with SUCCEEDED if the executor says that it is ready."""
+        now = self.clock.enter(now)
+        known = self.executors.get(executor)
+        if known is None:
+            return
+        self.gate.leases.probe_answered(known, outcome, now - took_ms)
+        self.ready_queue.extend(known.awaiting_probe)
+        known.awaiting_probe.clear()
+
     def client_gone(self, now: float, request: int) -> None:
         """The client cancelled its request, or left: no answer is owed any more."""
         self.clock.enter(now)
--- a/petrelway/routing/monotonic_time.py
+++ b/petrelway/routing/monotonic_time.py
@@ -39,6 +39,10 @@
         self._latest_ms = max(at, self._latest_ms)
         return self._latest_ms
 
+    def latest(self) -> float:
+        """The present as the decisions saw it last."""
+        return self._latest_ms
+
     def to_local(self, at: float) -> float:
         """A time before or after now, from the host's clock."""
         return at + self._ahead_ms
--- a/petrelway/routing/router.py
+++ b/petrelway/routing/router.py
@@ -18,6 +18,7 @@
 import random
 
 from .concurrency import LATE_SHARE, LIMIT_LEAST, LIMIT_START
+from .endpoint_lease import PROBE_TIMEOUT_MS, EndpointLeases
 from .expiry import EXPIRY_INTERVAL_MS, Expiry
 from .hedging import HEDGE_BUDGET_MAX, overdue_at_ms
 from .inputs import LOOK_AGAIN_MS, Inputs, total_rate
@@ -31,6 +32,7 @@
     Action,
     ActionKind,
     Capabilities,
+    DrainRule,
     FleetPosition,
     Idempotency,
     LoadingSettings,
@@ -59,6 +61,7 @@
         loading_settings: LoadingSettings,
         slow_start_rule: SlowStartRule,
         load_quota_rule: LoadQuotaRule,
+        drain_rule: DrainRule = DrainRule(0.0),
     ) -> None:
         super().__init__(now)
         self.clock = MonotonicTime(now, EXPIRY_INTERVAL_MS)
@@ -68,7 +71,13 @@
         self.loading_settings = loading_settings
         own_share = 1.0 / max(1, position.peers)
         self.gate = Gate(
-            slow_start_rule, load_quota_rule, total_rate(tenants), own_share, self.random_source, now
+            slow_start_rule,
+            load_quota_rule,
+            total_rate(tenants),
+            own_share,
+            self.random_source,
+            now,
+            EndpointLeases(drain_rule.grace_ms, capabilities.probes, seed),
         )
         self.prefetch_limit = PREFETCH_START
         self.hedge_budget = HEDGE_BUDGET_MAX
@@ -184,14 +193,35 @@
         if executor is None:
             idempotent = request.request_class.idempotency is Idempotency.IDEMPOTENT
             spent = request.possible_runs and not idempotent  # nothing may be sent again: say so now
-            if spent or self._is_hopeless(request, now):
+            if spent or self._is_hopeless(request, now) or self._none_can_be_known(now):
                 return self._give_up(request)
         if executor is None or self._awaits_load(request, executor):
             request.function.waiting[request.index] = None
             heapq.heappush(self.timers, (now + LOOK_AGAIN_MS, request.index))
             return None
+        if not self.gate.leases.holds(executor, now):
+            return self._probe_first(request, executor, now)
         return self._send(request, executor, now)
 
+    def _probe_first(self, request: Request, executor: Executor, now: float) -> Action | None:
+        """Let the request wait until the executor has said that it is ready."""
+        executor.awaiting_probe[request.index] = None
+        heapq.heappush(self.timers, (now + PROBE_TIMEOUT_MS, request.index))
+        if self.gate.leases.probe(executor, now):
+            return Action(ActionKind.PROBE, executor=executor.endpoint.executor)
+        return None
+
+    def _none_can_be_known(self, now: float) -> bool:
+        """Whether discovery's word has run out, no executor's own answer is left and none can be probed: to
+        wait would be no better, and to send would be in hope."""
+        leases = self.gate.leases
+        if leases.probes or leases.list_holds(now) or not self.ready:
+            return False
+        if any(leases.holds(executor, now) for executor in self.ready):
+            return False
+        leases.counts["rejected, none known to be ready"] += 1
+        return True
+
     def _over_limit(self, request: Request, now: float) -> bool:
         """Whether a new request has to wait for others to end. Holds where own requests are so few at each
         executor that no limit there can hold an overload off."""
@@ -227,6 +257,8 @@
         executor = self.choose(request, now)
         if executor is None or request.function.index not in executor.resume:  # only a warm one is worth it
             return None
+        if not self.gate.leases.holds(executor, now):
+            return None
         self.hedge_budget -= 1.0
         return self._send(request, executor, now)
 
--- a/petrelway/routing/rules.py
+++ b/petrelway/routing/rules.py
@@ -2,7 +2,7 @@
 
 1. One final answer within the deadline, and no more attempts than the deployment allows.
 2. A request that may have run goes out again only where that does no harm (`replay_safety`).
-3. Nothing new is sent to an executor that is not ready; the grace of draining ones is not used.
+3. Nothing new is sent to an executor that is not ready, or that is not known to be (`endpoint_lease`).
 4. A new executor starts slowly (`slow_start`).
 5. Load requests stay within their quota (`load_quota`).
 """
@@ -11,6 +11,7 @@
 
 import random
 
+from .endpoint_lease import EndpointLeases
 from .load_quota import LoadQuota
 from .replay_safety import may_reject, may_replay
 from .slow_start import SlowStart
@@ -29,12 +30,18 @@
         own_share: float,
         random_source: random.Random,
         start: float,
+        leases: EndpointLeases,
     ) -> None:
+        self.leases = leases
         SlowStart.__init__(self, slow_start_rule, configured_rate, own_share, random_source, start)
         LoadQuota.__init__(self, load_quota_rule)
 
     def allows_send(self, request: Request, executor: Executor, listed: int, now: float) -> bool:
         """Whether this request may go to this executor now; `listed` executors are ready."""
+        return self.leases.holds(executor, now) and self.allows_if_ready(request, executor, listed, now)
+
+    def allows_if_ready(self, request: Request, executor: Executor, listed: int, now: float) -> bool:
+        """Whether it may once the executor is known to be as ready as it is listed."""
         if request.answered or now >= request.answer_deadline_ms:  # rule 1
             return False
         if request.attempts_sent >= request.capabilities.attempts:
@@ -55,7 +62,7 @@
     def allows_load_request(self, executor: Executor, now: float) -> bool:
         """Whether a load request may go to this executor now (rules 3 and 5)."""
         allowed = self._load_quota_allows(now)
-        return executor.endpoint.stage is Stage.READY and allowed
+        return executor.endpoint.stage is Stage.READY and allowed and self.leases.holds(executor, now)
 
     def allows_reject(self, request: Request) -> bool:
         """Whether the request's final answer may be a reject (rule 2)."""
--- a/petrelway/routing/selection.py
+++ b/petrelway/routing/selection.py
@@ -84,6 +84,7 @@
             return min(
                 unburdened,
                 key=lambda executor: (
+                    not self.gate.leases.holds(executor, now),  # a probe costs; with discovery none is due
                     self._expected_ms(executor, request, now),
                     self.random_source.random(),
                 ),
@@ -163,7 +164,10 @@
             return False
         if any(attempt.executor is executor for attempt in request.in_flight.values()):
             return False
-        return self.gate.allows_send(request, executor, len(self.ready), now)
+        leases = self.gate.leases
+        if not leases.holds(executor, now) and not leases.may_probe(executor, now):
+            return False
+        return self.gate.allows_if_ready(request, executor, len(self.ready), now)
 
     def _expected_ms(self, executor: Executor, request: Request, now: float) -> float:
         """The weighted backlog with this request, and the load that it would wait for."""
--- a/petrelway/routing/slow_start.py
+++ b/petrelway/routing/slow_start.py
@@ -9,6 +9,7 @@
 import math
 import random
 
+from .endpoint_lease import EndpointLeases
 from .state import Executor, Request
 from .types import QuotaShare, SlowStartRule
 
@@ -21,6 +22,7 @@
     """What warm executors usually carry, by machine type, and what new ones may get of it."""
 
     slow_start_rule: SlowStartRule
+    leases: EndpointLeases
 
     def __init__(
         self,
@@ -71,7 +73,7 @@
 
     def is_warming_up(self, executor: Executor, now: float) -> bool:
         """Whether the executor's process is too new for its full share of requests."""
-        return now < executor.endpoint.started_ms + self.slow_start_rule.warm_ms
+        return now < self.leases.started_ms(executor, now) + self.slow_start_rule.warm_ms
 
     def _slow_start_allows(self, request: Request, executor: Executor, listed: int, now: float) -> bool:
         """Whether rule 4 allows this send.
@@ -84,7 +86,7 @@
         if not self.is_warming_up(executor, now):
             return True
         rule = self.slow_start_rule
-        grown = max(0.0, now - executor.endpoint.started_ms) / rule.warm_ms
+        grown = max(0.0, now - self.leases.started_ms(executor, now)) / rule.warm_ms
         part = SLOW_START_MARGIN * rule.multiple * (rule.start_share + (1.0 - rule.start_share) * grown)
         # a restarted front end has no history: the tenants' rates, which the fleet can carry, are split
         # evenly over front ends and executors, and halved
--- a/petrelway/routing/state.py
+++ b/petrelway/routing/state.py
@@ -125,6 +125,12 @@
         self.salt = salt_of(self.stable)
         self.in_flight: dict[tuple[int, int], Attempt] = {}
         self.busy = 0  # those of them that do not wait for a load
+        self.ready_at_ms = -math.inf  # by its own answers: when what the last of them answered was sent
+        self.disconnected_ms = -math.inf  # when its last connection was ended by the other side
+        self.probe_under_way = False
+        self.probe_sent_ms = -math.inf
+        self.probe_not_before_ms = -math.inf
+        self.awaiting_probe: dict[int, None] = {}  # requests
         self.restart(limit)
 
     def restart(self, limit: float) -> None:
--- a/petrelway/routing/types.py
+++ b/petrelway/routing/types.py
@@ -193,6 +193,12 @@
     warm_ms: float
 
 
+class DrainRule(NamedTuple):
+    """Rule 3: how long an executor may still get requests once its drain counts as notified."""
+
+    grace_ms: float
+
+
 class LoadQuotaRule(NamedTuple):
     """Rule 5: load requests allowed within a window: some free, and a share of the requests taken."""
 
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -12,6 +12,7 @@
 class Rig:
     def __init__(self, start=True):
         self.clock, self.net, self.log, self.received = clock(), Net(), Log(), []
+        self.confirmed = []
         self.client = DiscoveryClient(
             "127.0.0.1",
             7070,
@@ -21,11 +22,19 @@
             self.net.connect,
             random.Random(1),
             self.endpoints_changed,
+            self,
             self.log,
         )
         if start:
             self.client.start(known((1, 7001), offset=3))
 
+    def endpoint_list_confirmed(self, confirmed_ms, notified_ms):
+        self.confirmed.append((confirmed_ms, notified_ms))
+        self.notified_ms = notified_ms
+
+    def endpoint_list_unconfirmed(self, notified_ms):
+        self.notified_ms = min(self.notified_ms, notified_ms)
+
     def endpoints_changed(self, places, complete):
         self.received.append(([(p.executor, p.stage) for p in places], complete))
 
--- a/tests/test_executor_channel.py
+++ b/tests/test_executor_channel.py
@@ -24,6 +24,9 @@
     def load_request_answered(self, executor, order, outcome, replicas):
         self.load_requests.append((order, outcome, replicas))
 
+    def executor_disconnected(self, executor):
+        self.disconnected = True
+
     def probe_answered(self, executor, probe, outcome, load):
         self.probes.append((probe, outcome))
 
--- a/tests/test_executor_pool.py
+++ b/tests/test_executor_pool.py
@@ -26,6 +26,9 @@
     def load_request_answered(self, executor, order, outcome, replicas):
         self.load_requests.append((order, outcome, replicas))
 
+    def executor_disconnected(self, executor):
+        self.disconnected = True
+
     def probe_answered(self, executor, probe, outcome, load):
         self.probes.append((probe, outcome))
 
