--- a/petrelway/routing/selection.py
+++ b/petrelway/routing/selection.py
@@ -165,9 +165,10 @@
         if any(attempt.executor is executor for attempt in request.in_flight.values()):
             return False
         leases = self.gate.leases
-        if not leases.holds(executor, now) and not leases.may_probe(executor, now):
-            return False
-        return self.gate.allows_if_ready(request, executor, len(self.ready), now)
+        if leases.holds(executor, now):
+            return self.gate.allows_send(request, executor, len(self.ready), now)
+        may_probe = leases.may_probe(executor, now)
+        return may_probe and self.gate.allows_if_ready(request, executor, len(self.ready), now)
 
     def _expected_ms(self, executor: Executor, request: Request, now: float) -> float:
         """The weighted backlog with this request, and the load that it would wait for."""
--- a/tests/test_endpoint_leases.py
+++ b/tests/test_endpoint_leases.py
@@ -263,6 +263,44 @@
     assert play.sent == 1 and len(play.probes) == 1
 
 
+def test_a_probe_renews_from_the_moment_of_sending_too():
+    play = outage()
+    play.request()
+    play.drain(play.probes[0][0])
+    play.now += 600.0
+    play.drains_ms.clear()
+    play.answer_probe(0)
+    assert play.sent == 0
+
+
+def test_what_waited_for_its_connection_is_checked_again():
+    play = Play(500.0)
+    play.lose()
+    play.request_that_waits()
+    play.advance(NOTIFIED_AFTER_MS - 100.0)
+    play.request_that_waits()
+    waiting = play.attempts[-1][2]
+    play.now += 700.0
+    play.drain(waiting)
+    while any(at is None for *_, at in play.attempts):
+        play.hand_over(0)
+    assert play.sent == 0
+
+
+def test_no_request_is_rejected_while_a_good_executor_is_only_busy():
+    play = outage(probes=False)
+    good = play.fe.executors[0]
+    play.fe.gate.leases.answered(good, Outcome.SUCCEEDED, play.now, play.now)
+    play.request()
+    play.answer(1)  # it has loaded the function now
+    good.adjust_load(0, 1.0)
+    play.request()
+    play.request()
+    assert play.sent == 2 and len(play.fe.requests) == 2
+    play.answer(1)
+    assert play.sent == 3
+
+
 def test_an_executor_that_turned_a_request_away_is_not_taken_for_ready():
     play = outage()
     leases = play.fe.gate.leases
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -19,6 +19,9 @@
 from petrelway.node.service import NodeService
 from petrelway.platform.configuration import read_configuration
 
+RULES = {**SETTINGS["invariants"], "stopSendingWithinS": 2.0}
+WITH_GRACE = {**SETTINGS, "invariants": RULES}
+
 
 class Port:
     def __init__(self):
@@ -38,7 +41,7 @@
     def __init__(self, executors=((1, 7001),), **more):
         self.reactor, self.net, self.log = Reactor(), Net(), Log()
         self.reactor.advance(1_000_000.0)
-        self.file = configuration(executors=executors, **more)
+        self.file = configuration(executors=executors, **{"settings": WITH_GRACE, **more})
         self.node = NodeService(
             self.reactor, read_configuration(self.file), lambda: self.file, self.log, connect=self.net.connect
         )
@@ -85,6 +88,8 @@
     def serve(self):
         """Executors answer all at once: orders stand, requests are succeeded."""
         for wire, (code, id, _, body) in self.sent():
+            if code == 12:
+                wire.dataReceived(answer(106, id))
             if code in (10, 14):
                 wire.dataReceived(answer(100, id, b"how=resident" if code == 10 else b"count=1", body))
 
