--- a/tests/test_endpoint_leases.py
+++ b/tests/test_endpoint_leases.py
@@ -298,6 +298,7 @@
     play.request()
     assert play.sent == 2 and len(play.fe.requests) == 2
     play.answer(1)
+    play.advance(50.0)  # it is looked at again
     assert play.sent == 3
 
 
