--- a/petrelway/emulator/quota_model.py
+++ b/petrelway/emulator/quota_model.py
@@ -20,6 +20,7 @@
 from ..membership.messages import Incarnation, MemberState, Message, MessageKind
 from ..membership.quota_lease import QuotaLeaseHolder
 from ..membership.swim import MembershipStateMachine
+from ..routing.endpoint_lease import EndpointLeases
 from ..routing.rules import Gate
 from ..routing.types import LoadQuotaRule, QuotaShare, SlowStartRule
 
@@ -76,7 +77,9 @@
 @cache
 def _in_use(one: One) -> float:
     """What the module would go by in this turn, if it has been told nothing since."""
-    gate = Gate(SlowStartRule(1, 1, 1, 1), LoadQuotaRule(0, 0, 0), 1.0, 1 / SIZE, random.Random(0), 0.0)
+    leases = EndpointLeases(grace_ms=0.0, probes=False, seed=0)
+    rule, quota = SlowStartRule(1, 1, 1, 1), LoadQuotaRule(0, 0, 0)
+    gate = Gate(rule, quota, 1.0, 1 / SIZE, random.Random(0), 0.0, leases)
     gate.quota_share = QuotaShare(one.share, NOW + one.left)
     return gate.share(NOW)
 
--- a/petrelway/fakes/platform_peers.py
+++ b/petrelway/fakes/platform_peers.py
@@ -164,6 +164,7 @@
         self.sock = socket.create_server(("127.0.0.1", port), backlog=self.BACKLOG)
         self.port: int = self.sock.getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
+        self.closing = False
         self.wires: list[socket.socket] = []
         self.threads: list[threading.Thread] = []
         self._start(self._accept)
@@ -193,8 +194,9 @@
 
     def close(self) -> None:
         """Refuse connections from now on, and end all; once more changes nothing."""
-        if self.sock.fileno() < 0:
+        if self.closing:
             return
+        self.closing = True
         self.sock.shutdown(socket.SHUT_RDWR)
         self.threads[0].join()
         for wire in self.wires:
@@ -215,11 +217,11 @@
     `told` keeps what it was told, `arrivals_s` when each first byte of that was read.
     """
 
-    def __init__(self, work_ms: float = 0.0) -> None:
+    def __init__(self, work_ms: float = 0.0, port: int = 0) -> None:
         self.work_ms, self.told = work_ms, []
         self.arrivals_s: list[float] = []
         self.draining = False
-        super().__init__()
+        super().__init__(port)
 
     def requested(self, wire: socket.socket, id: bytes, body: bytes) -> None:
         time.sleep(self.work_ms / 1e3)
@@ -328,6 +330,8 @@
         self.resumed.append(number)
         for turn in itertools.count():
             time.sleep(0.02 if turn else 0.0)
+            if self.closing:
+                return
             if self.silent:
                 continue
             for at, data in list(self.events):
