The list of the start counts from when the configuration was handed over

Cause: an outage may begin before a process does, and loading takes a second or two; the first list counted from when loading was done. Change: it counts from the start of the program; the lapse is logged once the front end listens.

--- a/petrelway/commands/node.py
+++ b/petrelway/commands/node.py
@@ -10,9 +10,13 @@
 import click
 
 from ..common import structured_logs as logs
+from ..common.process_clock import process_clock
 from ..platform.configuration import read_configuration
 from ..platform.errors import ProtocolError
 
+INTERPRETER_START_S = 0.3  # from the program's start to this module's, at most
+LOADED_S = process_clock().seconds()
+
 
 def _refuse(text: str) -> NoReturn:
     """One line, as the platform's log keeps it."""
@@ -46,7 +50,7 @@
 
     from twisted.internet import error
 
-    from ..common.process_clock import process_clock, steady_reactor
+    from ..common.process_clock import steady_reactor
     from ..gateway.garbage_collection import settle
     from ..node.service import NodeService
     from ..sockets.starting import retry_while_short
@@ -76,6 +80,7 @@
         unix_ahead_s=process_clock().unix_ahead_s,
         patiently=patiently,
         library_errors=errors.counts,
+        configured_ms=(LOADED_S - INTERPRETER_START_S) * 1e3,
     )
     try:
         front.startService()
--- a/petrelway/node/discovery.py
+++ b/petrelway/node/discovery.py
@@ -121,15 +121,15 @@
         self.turn_before_ms = self.last_turn_ms
         self.last_turn_ms = self.now()
 
-    def start(self, initial_events: Any) -> None:
-        """Read the events that the configuration holds, then follow.
+    def start(self, initial_events: Any, complete_ms: float) -> None:
+        """Read the events that the configuration holds, complete as of a time, then follow.
 
         Raises ProtocolError if they can't be read.
         """
         if initial_events:
             DiscoveryEventReader(self.zones, self.machines, self).read_initial_events(initial_events)
-        now = self.now()
-        self.validity.endpoint_list_confirmed(now, now)  # an outage may have begun before
+        # an outage may have begun before: what was told since then counts as notified already
+        self.validity.endpoint_list_confirmed(complete_ms, complete_ms)
         self._dial()
 
     # -- events (platform.discovery_codec.DiscoveryEventHandler)
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -58,12 +58,14 @@
         unix_ahead_s: Callable[[], float] = lambda: 0.0,
         patiently: Callable[[Callable], Any] = lambda make: make(),
         library_errors: Counter[str] | None = None,
+        configured_ms: float | None = None,
     ) -> None:
         """Take the configuration and how to read it again.
 
         `read` gives its bytes and raises OSError. `peers`: join the other front ends, where the settings
         permit it. `unix_ahead_s`: how far the wall clock has been stepped ahead of the reactor's. `patiently`
-        calls again what the system fails for a moment.
+        calls again what the system fails for a moment. `configured_ms`: when the configuration's initial
+        events were complete at the latest; the present, if not given.
         """
         self.reactor = reactor
         self.configuration = configuration
@@ -72,6 +74,7 @@
         self.connect = connect or connector(reactor)
         self.port = None
         self.pulse_call = None
+        self.configured_ms = self.now() if configured_ms is None else configured_ms
         self.list_lapsed = False  # discovery's word on which executors are ready has run out
         self.stopping = False
         self.wants_peers = peers
@@ -103,7 +106,7 @@
         self.admission = self._make_admission(sockets, random_source)
         self.client_listener = self._make_client_listener(shares)
         self.discovery = self._make_discovery(random_source)
-        self.discovery.start(configuration.initial_events)
+        self.discovery.start(configuration.initial_events, self.configured_ms)
         self._pulse(self.now())
         self.port = self.patiently(self._listen)
         self.join_peers()
@@ -268,7 +271,8 @@
         self.admission.lag_measured(now - due_ms)
         dispatcher.check_wall_clock()
         self.discovery.loop_turned()
-        self._report_list_validity(now)
+        if self.port is not None:
+            self._report_list_validity(now)
         connections = len(self.client_listener.connections)
         self.admission.load_measured(dispatcher.unanswered, dispatcher.unanswered_bytes, connections)
         next_due_ms = now + PULSE_INTERVAL_MS
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -26,7 +26,7 @@
             self.log,
         )
         if start:
-            self.client.start(known((1, 7001), offset=3))
+            self.client.start(known((1, 7001), offset=3), self.clock.seconds() * 1e3)
 
     def endpoint_list_confirmed(self, confirmed_ms, notified_ms):
         self.confirmed.append((confirmed_ms, notified_ms))
