--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -10,6 +10,7 @@
 
 import itertools
 import json
+import signal
 import threading
 import time
 
@@ -22,6 +23,7 @@
 NOTIFIED_AFTER_S = 4.0  # what a silent or lost bus would have told counts as told then, at the latest
 SLACK_S = 0.25  # the rule's own 50 ms, and what the stand-ins' threads may read late
 SERVED_SHARE = 0.9  # in the outage, on executors that are still good
+SHEDDING_S = 0.5  # after a pause of several seconds new requests are shed for so long, by its lag
 INTERVAL_S = 0.02
 WATCHED_S = 3.0
 
@@ -114,3 +116,56 @@
     assert [late_requests(executor, limit_s) for executor in draining] == [0, 0]
     assert client.served_share(limit_s) >= SERVED_SHARE
     assert all(json.dumps(error) and error["code"] == -32014 for error in client.refused.values())
+
+
+def test_an_outage_that_began_before_the_start_gives_no_longer_term(tmp_path):
+    """What drains then counts as notified at once, and nobody has told this front end for how long."""
+    executors = [Executor(work_ms=2.0) for _ in range(4)]
+    numbers = range(1, len(executors) + 1)
+    node = Node(tmp_path, executors, known=numbers, invariants={"stopSendingWithinS": GRACE_S}, bus_up=False)
+    try:
+        executors[0].draining = True
+        drained_s = time.monotonic()
+        client = SteadyClient(node.client())
+        time.sleep(GRACE_S + SLACK_S + 2.0)
+        client.stop()
+        assert late_requests(executors[0], drained_s + GRACE_S + SLACK_S) == 0
+        assert client.served_share(drained_s) >= SERVED_SHARE
+    finally:
+        node.close()
+
+
+def test_a_process_that_was_paused_across_the_limit_sends_nothing_on_its_old_belief(rig):
+    node, client = rig()
+    lost_s = lose(node.bus, "silent")
+    node.stopped()
+    draining = node.executors[:3]
+    for executor in draining:
+        executor.draining = True
+    limit_s = lost_s + NOTIFIED_AFTER_S + GRACE_S + SLACK_S
+    time.sleep(limit_s - time.monotonic())
+    node.signal(signal.SIGCONT)
+    time.sleep(1.0)
+    client.stop()
+    assert [late_requests(executor, limit_s) for executor in draining] == [0, 0, 0]
+    assert client.served_share(limit_s + SHEDDING_S) >= SERVED_SHARE
+
+
+def test_where_probes_are_forbidden_answers_keep_the_service_up(rig):
+    node, client = rig(limits={"probes": False})
+    lost_s = lose(node.bus, "refused")
+    limit_s = lost_s + NOTIFIED_AFTER_S + GRACE_S + SLACK_S
+    time.sleep(NOTIFIED_AFTER_S)
+    node.executors[0].draining = True
+    time.sleep(limit_s + 1.0 - time.monotonic())
+    client.stop()
+    assert sum(executor.probes() for executor in node.executors) == 0
+    assert late_requests(node.executors[0], limit_s + GRACE_S) == 0
+    assert client.served_share(limit_s) >= SERVED_SHARE
+
+
+def test_no_executor_is_probed_while_discovery_is_well(rig):
+    node, client = rig()
+    time.sleep(1.5)
+    client.stop()
+    assert sum(executor.probes() for executor in node.executors) == 0
