--- /dev/null
+++ b/benchmarks/discovery_outage.py
@@ -0,0 +1,205 @@
+"""What a fleet spends to know its executors while discovery is out of reach, for each request.
+
+Front ends are real routing cores on one simulated clock; executors are modelled: each answers after its work,
+turns work away while it drains, and answers probes. Printed for each size: probes for each request before
+and in the outage, most probes that one executor got within 100 ms, share served before and in the outage,
+and sends later than the rule allows. Run as `python benchmarks/discovery_outage.py`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import sys
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from petrelway.routing.router import FrontEnd
+from petrelway.routing.types import (
+    ActionKind,
+    Capabilities,
+    DrainRule,
+    Endpoint,
+    FleetPosition,
+    Idempotency,
+    LoadingSettings,
+    LoadQuotaRule,
+    Outcome,
+    RequestClass,
+    Scope,
+    SlowStartRule,
+    Stage,
+    Tenant,
+    Warmth,
+)
+
+QUIET_MS = 10_000.0
+OUTAGE_MS = 20_000.0
+NOTIFIED_AFTER_MS = 4000.0
+HEARTBEAT_MS = 1000.0
+WORK_MS = 20.0
+ROUND_TRIP_MS = 1.0
+DEADLINE_MS = 2000.0
+FUNCTIONS = 40
+DRAINING_SHARE = 0.1  # of the executors, half a second into the outage
+WINDOW_MS = 100.0
+SIZES = ((3, 15), (3, 120), (50, 15), (50, 120), (200, 15), (200, 120))
+GRACES_MS = (500.0, 2000.0)
+REQUESTS_PER_S = 2.0  # at each front end
+
+
+class Outcomes(NamedTuple):
+    """What one run showed."""
+
+    probes: list[float]  # for each request: before, in the outage
+    served: list[float]
+    burst: int
+    late: int
+
+
+class Fleet:
+    """Front ends, executors and one queue of events."""
+
+    def __init__(self, front_ends: int, executors: int, grace_ms: float) -> None:
+        self.random_source = random.Random(f"{front_ends}/{executors}/{grace_ms}")
+        self.now = 0.0
+        self.queue: list[tuple] = []
+        self.order = itertools.count()
+        self.executors = executors
+        self.grace_ms = grace_ms
+        self.drains_ms = dict.fromkeys(
+            range(max(1, int(DRAINING_SHARE * executors))), QUIET_MS + NOTIFIED_AFTER_MS / 8
+        )
+        self.front_ends = [self._front_end(number, front_ends, grace_ms) for number in range(front_ends)]
+        self.serials = itertools.count()
+        self.counts: Counter[tuple[str, int]] = Counter()
+        self.probes_at: defaultdict[int, list[float]] = defaultdict(list)
+        self.late = 0
+
+    def _front_end(self, number: int, count: int, grace_ms: float) -> FrontEnd:
+        rate = count * REQUESTS_PER_S
+        front_end = FrontEnd(
+            0.0,
+            number,
+            FleetPosition(number, count, 0),
+            [RequestClass(Idempotency.IDEMPOTENT, Scope.ALL, 0.0, 500.0, DEADLINE_MS, 1.0, 0.1)],
+            [Tenant(1.0, rate)],
+            Capabilities(5, True, True, True, False, 500.0),
+            LoadingSettings(False, True, 30_000.0, 10_000.0, 0.0),
+            SlowStartRule(4.0, 1500.0, 0.2, 10_000.0),
+            LoadQuotaRule(0.0, 0.0, 0.0),
+            DrainRule(grace_ms),
+        )
+        entries = [Endpoint(e, f"e{e}", 0, 0, 0, Stage.READY, 1.0, 0.0) for e in range(self.executors)]
+        front_end.executors_listed(0.0, entries, True)
+        for function in range(FUNCTIONS):
+            front_end.function_named(0.0, function, f"f{function}", 100.0, 2, 200.0)
+        return front_end
+
+    def _at(self, delay_ms: float, run, *arguments) -> None:
+        heapq.heappush(self.queue, (self.now + delay_ms, next(self.order), run, arguments))
+
+    def run(self) -> Outcomes:
+        for number, front_end in enumerate(self.front_ends):
+            self._at(self.random_source.random() * HEARTBEAT_MS, self._heartbeat, front_end)
+            self._at(self.random_source.expovariate(REQUESTS_PER_S) * 1e3, self._request, number)
+        while self.queue and self.queue[0][0] < QUIET_MS + OUTAGE_MS:
+            self.now, _, run, arguments = heapq.heappop(self.queue)
+            run(*arguments)
+        taken = [max(1, self.counts["taken", part]) for part in (0, 1)]
+        return Outcomes(
+            [self.counts["probe", part] / taken[part] for part in (0, 1)],
+            [self.counts["served", part] / taken[part] for part in (0, 1)],
+            max((most_within(times) for times in self.probes_at.values()), default=0),
+            self.late,
+        )
+
+    def _part(self) -> int:
+        return int(self.now >= QUIET_MS + NOTIFIED_AFTER_MS)
+
+    def _heartbeat(self, front_end: FrontEnd) -> None:
+        if self.now < QUIET_MS:
+            front_end.endpoint_list_confirmed(self.now, self.now, self.now + NOTIFIED_AFTER_MS)
+            self._at(HEARTBEAT_MS, self._heartbeat, front_end)
+
+    def _request(self, number: int) -> None:
+        front_end = self.front_ends[number]
+        self.counts["taken", self._part()] += 1
+        function = min(int(self.random_source.expovariate(0.2)), FUNCTIONS - 1)
+        front_end.request_taken(self.now, next(self.serials), 0, 0, function, DEADLINE_MS, WORK_MS, False)
+        self._decide(front_end)
+        self._at(self.random_source.expovariate(REQUESTS_PER_S) * 1e3, self._request, number)
+
+    def _decide(self, front_end: FrontEnd) -> None:
+        while (action := front_end.decide(self.now)) is not None:
+            if action.kind is ActionKind.WAKE:
+                self._at(max(0.0, action.ms - self.now), self._wake, front_end)
+            elif action.kind is ActionKind.SEND:
+                self._send(front_end, action.request, action.executor)
+            elif action.kind is ActionKind.PROBE:
+                self._probe(front_end, action.executor)
+
+    def _wake(self, front_end: FrontEnd) -> None:
+        front_end.time_passed(self.now)
+        self._decide(front_end)
+
+    def _drains(self, executor: int) -> bool:
+        return self.now >= self.drains_ms.get(executor, self.now + 1.0)
+
+    def _send(self, front_end: FrontEnd, request: int, executor: int) -> None:
+        notified_ms = max(self.drains_ms.get(executor, 0.0), QUIET_MS + NOTIFIED_AFTER_MS)
+        self.late += self._drains(executor) and self.now > notified_ms + self.grace_ms
+        number = front_end.requests[request].attempts_sent - 1
+        outcome = Outcome.FULL if self._drains(executor) else Outcome.SUCCEEDED
+        took_ms = ROUND_TRIP_MS + (WORK_MS if outcome is Outcome.SUCCEEDED else 0.0)
+        self._at(took_ms, self._answer, front_end, request, number, outcome, took_ms)
+
+    def _answer(
+        self, front_end: FrontEnd, request: int, number: int, outcome: Outcome, took_ms: float
+    ) -> None:
+        succeeded = outcome is Outcome.SUCCEEDED
+        self.counts["served", self._part()] += succeeded
+        front_end.attempt_ended(self.now, request, number, outcome, took_ms, succeeded, Warmth.FOUND)
+        self._decide(front_end)
+
+    def _probe(self, front_end: FrontEnd, executor: int) -> None:
+        self.counts["probe", self._part()] += 1
+        self.probes_at[executor].append(self.now)
+        outcome = Outcome.ERROR if self._drains(executor) else Outcome.SUCCEEDED
+        self._at(ROUND_TRIP_MS, self._probe_answer, front_end, executor, outcome)
+
+    def _probe_answer(self, front_end: FrontEnd, executor: int, outcome: Outcome) -> None:
+        front_end.probe_answered(self.now, executor, outcome, ROUND_TRIP_MS)
+        self._decide(front_end)
+
+
+def most_within(times: list[float]) -> int:
+    """The most of these within one window."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while at - times[first] > WINDOW_MS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def main() -> None:
+    print("modelled executors, real routing cores; before / in the outage, past the notified time")
+    print(
+        "front ends | executors | grace s | probes for each request | served | most probes in 100 ms | late"
+    )
+    late = 0
+    for grace_ms in GRACES_MS:
+        for front_ends, executors in SIZES:
+            found = Fleet(front_ends, executors, grace_ms).run()
+            late += found.late
+            probes = " / ".join(f"{each:.3f}" for each in found.probes)
+            served = " / ".join(f"{each:.3f}" for each in found.served)
+            size = f"{front_ends} | {executors} | {grace_ms / 1e3:g}"
+            print(f"{size} | {probes} | {served} | {found.burst} | {found.late}", flush=True)
+    sys.exit(1 if late else 0)
+
+
+if __name__ == "__main__":
+    main()
