Test of hollow members draws its port, so that two test runs do not meet

Played again with the old text, two runs side by side: one failure in each. Change: the port is drawn.

--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -11,6 +11,7 @@
 
 import pytest
 from doubles import Log
+from nodes import spare
 from twisted.internet import error, task
 from twisted.python.failure import Failure
 
@@ -278,9 +279,14 @@
         process.end()
 
 
+def free_port():
+    """A port of its own, so that two runs of the tests on one machine do not meet."""
+    return int(spare().rpartition(":")[2])
+
+
 @pytest.mark.parametrize("ports", ["--ports", "--datagrams"])
 def test_processes_of_hollow_members_are_one_fleet_and_see_one_go(processes, ports):
-    options = ("--network", 78, "--port", 20_100 + (ports == "--ports"), ports)
+    options = ("--network", 78, "--port", free_port(), ports)
     for first in (0, 6):
         processes.append(Process(12, first, 6, *options))
     for process in processes:
@@ -297,7 +303,7 @@
 
 
 def test_introduced_members_begin_with_everybody_alive_and_settle(processes):
-    processes.append(Process(20, 0, 20, "--network", 79, "--port", 20_102, "--introduced"))
+    processes.append(Process(20, 0, 20, "--network", 79, "--port", free_port(), "--introduced"))
     [process] = processes
     assert process.first["alive_least"] == 19 and process.first["untold_most"] == 19
     process.say("go")
