Reproduction: signals while the reactor can't be woken break connections (fails)

What callers see: while writes to the process's own pipes fail, each SIGHUP may cut the connection or the attempt that the main thread is at; requests are lost or sent twice, and the process may end.

--- a/petrelway/fakes/failing_calls.c
+++ b/petrelway/fakes/failing_calls.c
@@ -17,6 +17,7 @@
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
 #include <sys/uio.h>
 #include <time.h>
@@ -26,7 +27,7 @@
 
 /* The order is that of CALLS in failing_calls.py. */
 enum call { ACCEPT, SOCKET, CONNECT, RECV, SEND, SENDTO, RECVFROM, EPOLL_CTL, EPOLL_WAIT, OPEN, WRITE, FSYNC,
-            PWRITE, PREAD, SETSOCKOPT, CALLS };
+            PWRITE, PREAD, SETSOCKOPT, WRITE_PIPE, CALLS };
 
 struct fault {
     int32_t error;             /* errno, 0: none */
@@ -146,8 +147,14 @@
     }
 OPEN_AS(open)
 OPEN_AS(open64)
+/* A pipe of the process's own, as one that wakes it; not its standard streams. */
+static int own_pipe(int fd) {
+    struct stat found;
+    return fd > STDERR_FILENO && fstat(fd, &found) == 0 && S_ISFIFO(found.st_mode);
+}
 ssize_t write(int fd, const void *buffer, size_t size) {
     REAL(ssize_t, "write", int, const void *, size_t);
+    if (plan != NULL && plan->faults[WRITE_PIPE].error != 0 && own_pipe(fd) && fails(WRITE_PIPE)) return -1;
     return fails(WRITE) ? -1 : real(fd, buffer, cut(WRITE, size));
 }
 int fsync(int fd) {
--- a/petrelway/fakes/failing_calls.py
+++ b/petrelway/fakes/failing_calls.py
@@ -16,7 +16,7 @@
 SOURCE = Path(__file__).with_name("failing_calls.c")
 CALLS = (
     "accept", "socket", "connect", "recv", "send", "sendto", "recvfrom", "epoll_ctl", "epoll_wait", "open",
-    "write", "fsync", "pwrite", "pread", "setsockopt",
+    "write", "fsync", "pwrite", "pread", "setsockopt", "write_pipe",
 )  # fmt: skip
 STEP = struct.Struct("=q")
 FAULT = struct.Struct("=iIqqQQ")  # errno, per mille, left, short_bytes, failed, calls
