Signals are noted by a handler that can't fail; the reactor acts on them in its turn

Callers saw, while writes to the process's own pipes failed: connections cut at a signal, requests lost without an answer, some sent twice, and the whole front end ended by SIGHUP.

Cause: SIGHUP and SIGTERM called reactor.callFromThread in their handler. Its wake-up writes to a pipe, and Twisted raises what is not EAGAIN. Python runs a handler between any two bytecodes of the main thread, so the exception came out of a transport's write, whose bytes had gone out, or out of the reactor's loop, which ended the process.

The reactor asks in each turn and runs each action as a call of its own, so that one that fails keeps no other out. The wake-up is the byte that C writes to the wake-up descriptor, which reports and never raises; where it fails too, no wait is longer than 0.1 s (the front end's own pulse is shorter). Calls from threads (log shipping, durable stores, name resolution) are found in the same way and no longer end their thread; children that end are reaped too. Failures are counted with those of libraries.

--- a/petrelway/commands/node.py
+++ b/petrelway/commands/node.py
@@ -61,16 +61,17 @@
         with open(file, "rb") as source:
             return source.read()
 
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: front.reload()))
-    # until the reactor's own handlers stand. Danger: by default the process ends at once, and clients may
-    # have asked since it listens
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callWhenRunning(reactor.stop))
+    reactor.on_signal(signal.SIGHUP, lambda: front.reload())
+    # by default the process ends at once, and clients may have asked since it listens
+    reactor.stop_on(signal.SIGTERM, signal.SIGINT)
     try:
         configuration = read_configuration(patiently(read))
     except (ProtocolError, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=configuration.name)
     errors = logs.library_errors(log)
+    errors.counts.update(reactor.failures)
+    reactor.failures = errors.counts
     front = NodeService(
         reactor,
         configuration,
--- a/petrelway/sockets/reactor.py
+++ b/petrelway/sockets/reactor.py
@@ -1,29 +1,99 @@
-"""A reactor that calls the poller again when the system is short of memory for a moment.
+"""A reactor that goes on when the system fails it for a moment.
 
 When `epoll_ctl` fails with ENOMEM or ENOSPC, a descriptor that nobody watches stays open and unread for ever.
-Twisted lets the exception through, to whoever happened to start or stop reading or writing. Installed by
-`common/process_clock.py` at the start.
+Twisted lets the exception through, to whoever happened to start or stop reading or writing.
+
+When the pipe that wakes the reactor can't be written to, Twisted raises in whoever wants to wake it: a
+thread, or a signal's handler, and so the function that the signal interrupted. Here the failure is counted;
+signals are noted (`signals.py`), and no wait is longer than LONGEST_WAIT_S, so that signals and calls from
+threads are found all the same.
+
+Installed by `common/process_clock.py` at the start.
 """
 
 from __future__ import annotations
 
-from twisted.internet import epollreactor, interfaces, main
+import contextlib
+import signal
+from collections import Counter
+from collections.abc import Callable
+from types import FrameType
+
+from twisted.internet import epollreactor, error, interfaces, main, process
 
 from .listening import SHORTAGES
+from .signals import PendingSignals
 
 RETRY_DELAY_S = 0.005
+LONGEST_WAIT_S = 0.1  # until a signal is found whose wake-up was lost
 
 
 class RetryingReactor(epollreactor.EPollReactor):
     """An epoll reactor that retries until each descriptor is watched or not wanted any more."""
 
     def __init__(self) -> None:
-        """Start with every descriptor watched."""
+        """Start with every descriptor watched and no signal noted."""
+        self._signals_noted = PendingSignals()
+        self._signal_actions: dict[int, Callable[[], object]] = {
+            signal.SIGCHLD: process.reapAllProcesses,
+            signal.SIGINT: self._stop_once,
+            signal.SIGTERM: self._stop_once,
+        }
+        self.failures: Counter[str] = Counter()
         self._unwatched_readers: set[interfaces.IReadDescriptor] = set()
         self._unwatched_writers: set[interfaces.IWriteDescriptor] = set()
         self._retry_call = None
-        self.watch_failures = 0
         super().__init__()
+        self.callWhenRunning(self._note_child_signals)
+
+    def on_signal(self, number: int, action: Callable[[], object]) -> None:
+        """From now on, call `action` in a turn of the reactor after each such signal or series of them.
+
+        One that comes before the reactor runs is acted upon in its first turn.
+        """
+        self._signal_actions[number] = action
+        signal.signal(number, self._signals_noted.note)
+
+    def stop_on(self, *numbers: int) -> None:
+        """Stop in the first turn after such a signal, as Twisted does once it runs."""
+        for number in numbers:
+            self.on_signal(number, self._stop_once)
+
+    def sigInt(self, number: int, frame: FrameType | None = None) -> None:
+        """Note SIGINT; Twisted makes this the handler when the reactor runs."""
+        self._signals_noted.note(number)
+
+    def sigTerm(self, number: int, frame: FrameType | None = None) -> None:
+        """Note SIGTERM; Twisted makes this the handler when the reactor runs."""
+        self._signals_noted.note(number)
+
+    def wakeUp(self) -> None:
+        """Wake the reactor up; without that it looks around within LONGEST_WAIT_S."""
+        try:
+            super().wakeUp()
+        except OSError:
+            self.failures["reactor: wake-up"] += 1
+
+    def timeout(self) -> float:
+        """Return how long to wait for events, in seconds."""
+        wait_s = super().timeout()
+        return LONGEST_WAIT_S if wait_s is None else min(wait_s, LONGEST_WAIT_S)
+
+    def runUntilCurrent(self) -> None:
+        """Run what is due; what signals ask for comes first, each on its own."""
+        for number in self._signals_noted.due():
+            self.callLater(0.0, self._signal_actions[number])
+        super().runUntilCurrent()
+
+    def _note_child_signals(self) -> None:
+        """Reap children whose end wrote no byte to Twisted's pipe, too."""
+        if signal.getsignal(signal.SIGCHLD) is not signal.SIG_DFL:
+            signal.signal(signal.SIGCHLD, self._signals_noted.note)
+            signal.siginterrupt(signal.SIGCHLD, False)
+
+    def _stop_once(self) -> None:
+        with contextlib.suppress(error.ReactorNotRunning):  # an earlier signal has stopped it
+            self.stop()
 
     def addReader(self, reader: interfaces.IReadDescriptor) -> None:
         """Watch for reading, now or at a retry."""
@@ -75,7 +145,7 @@
     def _watch_failed(self, error: OSError) -> None:
         if error.errno not in SHORTAGES:
             raise error
-        self.watch_failures += 1
+        self.failures["reactor: watch"] += 1
         if self._retry_call is None:
             self._retry_call = self.callLater(RETRY_DELAY_S, self._retry)
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -3,12 +3,14 @@
 import errno
 import itertools
 import signal
+import subprocess
+import sys
 import threading
 import time
 from collections import Counter
 
 import pytest
-from nodes import WAIT_S, node
+from nodes import ROOT, WAIT_S, node
 
 from petrelway.fakes.platform_peers import Executor, request
 
@@ -16,6 +18,7 @@
 EXECUTORS = 3
 SERIES_S = 3.0
 INTERVAL_S = 0.003
+DEPTH = 40  # frames in which the signals are raised
 
 
 class Asker(threading.Thread):
@@ -74,3 +77,169 @@
     assert [asker.served for asker in askers] == [asker.sent for asker in askers]
     assert [id for id, times in arrived.items() if times > 1] == []
     assert n.process.returncode == 0
+
+
+# A reactor of its own process, whose pipes can't be written to; a transport raises the signals in its write.
+REACTOR = """
+import errno, os, signal, sys
+from petrelway.common.process_clock import steady_reactor
+
+reactor = steady_reactor()
+real_write = os.write
+
+def failing_write(descriptor, data):
+    if descriptor > 2:
+        raise OSError(errno.EIO, "a write that fails")
+    return real_write(descriptor, data)
+
+os.write = failing_write
+began = reactor.seconds()
+
+class Transport:
+    sent = 0
+
+    def write(self, numbers):
+        for number in numbers:
+            signal.raise_signal(number)
+        self.sent += 1
+
+def nested(depth, run):
+    return nested(depth - 1, run) if depth else run()
+
+transport = Transport()
+
+def say(text):
+    print(text, flush=True)
+"""
+
+
+def run_reactor(script):
+    """What the process printed, its lines, and how it ended."""
+    told = subprocess.run(
+        [sys.executable, "-c", REACTOR + script], cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S
+    )
+    return told.stdout.split("\n")[:-1], told.returncode
+
+
+def test_a_signal_never_breaks_the_write_in_which_it_comes():
+    """The transport believed that a write failed which went out."""
+    lines, code = run_reactor(
+        f"""
+def ask():
+    nested({DEPTH}, lambda: transport.write([signal.SIGTERM, signal.SIGINT, signal.SIGTERM, signal.SIGCHLD]))
+    say(f"sent {{transport.sent}}")
+
+reactor.callLater(0.01, ask)
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["sent 1", "ended"]
+    assert code == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_is_found_though_nothing_wakes_the_reactor(number):
+    """With no byte to wake it, a reactor that waits for nothing would wait for ever."""
+    lines, code = run_reactor(
+        f"""
+import threading, time
+threading.Timer(0.2, lambda: os.kill(os.getpid(), signal.{number.name})).start()
+signal.set_wakeup_fd(-1)
+reactor.callWhenRunning(lambda: signal.set_wakeup_fd(-1))
+reactor.run()
+say("soon" if reactor.seconds() - began < 5.0 else "late")
+"""
+    )
+    assert lines == ["soon"]
+    assert code == 0
+
+
+def test_a_signal_before_the_reactor_runs_is_kept():
+    lines, code = run_reactor(
+        """
+reactor.on_signal(signal.SIGHUP, lambda: (say("reload"), reactor.stop()))
+signal.raise_signal(signal.SIGHUP)
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["reload", "ended"]
+    assert code == 0
+
+
+def test_a_series_of_different_signals_is_acted_upon_each():
+    lines, code = run_reactor(
+        """
+heard = []
+reactor.on_signal(signal.SIGHUP, lambda: heard.append("hangup"))
+reactor.on_signal(signal.SIGUSR1, lambda: heard.append("user"))
+
+def series():
+    transport.write([signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGTERM])
+
+reactor.callLater(0.01, series)
+reactor.addSystemEventTrigger("before", "shutdown", lambda: say(" ".join(sorted(set(heard)))))
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["hangup user", "ended"]
+    assert code == 0
+
+
+def test_an_action_that_fails_keeps_no_other_signal_out():
+    lines, code = run_reactor(
+        """
+def fails():
+    raise RuntimeError("an action that fails")
+
+reactor.on_signal(signal.SIGHUP, fails)
+reactor.callLater(0.01, transport.write, [signal.SIGHUP, signal.SIGTERM])
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["ended"]
+    assert code == 0
+
+
+def test_a_thread_whose_call_can_not_wake_the_reactor_goes_on():
+    """The error ended the thread, and the call waited until something else happened."""
+    lines, code = run_reactor(
+        """
+import threading
+
+def work():
+    reactor.callFromThread(say, "called")
+    say("thread goes on")
+    reactor.callFromThread(reactor.stop)
+
+reactor.callLater(0.05, lambda: threading.Thread(target=work).start())
+reactor.run()
+say("ended" if reactor.seconds() - began < 5.0 else "late")
+"""
+    )
+    assert sorted(lines) == ["called", "ended", "thread goes on"]
+    assert code == 0
+
+
+def test_a_child_that_ended_is_reaped_though_nothing_wakes_the_reactor():
+    lines, code = run_reactor(
+        """
+from twisted.internet import protocol
+
+class Child(protocol.ProcessProtocol):
+    def processEnded(self, reason):
+        say("reaped")
+        reactor.stop()
+
+reactor.callWhenRunning(lambda: signal.set_wakeup_fd(-1))
+reactor.callWhenRunning(lambda: reactor.spawnProcess(Child(), "/bin/sleep", ["sleep", "0.2"], {}))
+reactor.callLater(8.0, reactor.stop)
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["reaped", "ended"]
+    assert code == 0
