Signals that come before or after the reactor runs no longer kill a process

Operators saw a front end end by SIGHUP instead of with exit 0 when signals came in series until its end; a worker, the package store or the HTTP front end that got SIGTERM after it listened and before its reactor ran was killed with what clients had asked.

Cause: while Python ends it puts back the default of each handled signal, which kills, and Twisted leaves its handlers for that to find; before the reactor runs, only petrelway node had handlers of its own.

--- a/petrelway/commands/serve.py
+++ b/petrelway/commands/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import time
 
@@ -60,6 +61,7 @@
     from ..scenarios.baselines import POLICIES
 
     reactor = steady_reactor()
+    reactor.stop_on(signal.SIGTERM, signal.SIGINT)  # also before it runs: clients may have asked by then
     wanted = found["log"]
     try:
         log, lines = logs.start(wanted.form, wanted.level, wanted.file, front_end=found["front_end"].name)
--- a/petrelway/commands/worker.py
+++ b/petrelway/commands/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
@@ -36,6 +37,7 @@
     from ..worker.service import WorkerConfig, WorkerService
 
     reactor = steady_reactor()
+    reactor.stop_on(signal.SIGTERM, signal.SIGINT)  # also before it runs: clients may have asked by then
     place, listen, wanted = found["worker"], found["listen"], found["log"]
     loads, calls, replicas = found["loads"], found["calls"], found["copies"]
     log, _ = logs.start(wanted.form, wanted.level, wanted.file, worker=place.name)
@@ -128,6 +130,7 @@
     from ..worker.package import PackageError
 
     reactor = steady_reactor()
+    reactor.stop_on(signal.SIGTERM, signal.SIGINT)  # also before it runs: clients may have asked by then
     shelf = Shelf(reactor, takes, limit, fetch_ms)
     try:
         shelf.put_all(Path(folder))
--- a/petrelway/sockets/reactor.py
+++ b/petrelway/sockets/reactor.py
@@ -59,6 +59,16 @@
         for number in numbers:
             self.on_signal(number, self._stop_once)
 
+    def run(self, installSignalHandlers: bool = True) -> None:
+        """Run until stopped. From then on signals are ignored: the process ends.
+
+        While Python ends, it puts back the default of each handled signal, which kills.
+        """
+        super().run(installSignalHandlers)
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+            if signal.getsignal(number) in (self._signals_noted.note, self.sigInt, self.sigTerm):
+                signal.signal(number, signal.SIG_IGN)
+
     def sigInt(self, number: int, frame: FrameType | None = None) -> None:
         """Note SIGINT; Twisted makes this the handler when the reactor runs."""
         self._signals_noted.note(number)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -79,6 +79,17 @@
     assert n.process.returncode == 0
 
 
+def test_signals_until_the_end_of_the_process_do_not_kill_it(tmp_path):
+    """While Python ended, SIGHUP had its default again, which kills."""
+    with node(tmp_path, [Executor()]) as n:
+        drain_output(n.process)
+        n.signal(signal.SIGTERM)
+        end = time.monotonic() + WAIT_S
+        while n.process.poll() is None and time.monotonic() < end:
+            n.signal(signal.SIGHUP)
+    assert n.process.returncode == 0
+
+
 # A reactor of its own process, whose pipes can't be written to; a transport raises the signals in its write.
 REACTOR = """
 import errno, os, signal, sys
@@ -243,3 +254,33 @@
     )
     assert lines == ["reaped", "ended"]
     assert code == 0
+
+
+def test_sigterm_before_the_reactor_runs_stops_it():
+    """By default it ends the process at once, and clients may have asked since it listens."""
+    lines, code = run_reactor(
+        """
+reactor.stop_on(signal.SIGTERM, signal.SIGINT)
+signal.raise_signal(signal.SIGTERM)
+signal.raise_signal(signal.SIGINT)
+reactor.addSystemEventTrigger("before", "shutdown", lambda: say("drained"))
+reactor.run()
+say("ended")
+"""
+    )
+    assert lines == ["drained", "ended"]
+    assert code == 0
+
+
+def test_signals_are_ignored_once_the_reactor_has_ended():
+    lines, code = run_reactor(
+        """
+reactor.on_signal(signal.SIGHUP, lambda: None)
+reactor.callLater(0.01, reactor.stop)
+reactor.run()
+for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+    say(signal.getsignal(number).name)
+"""
+    )
+    assert lines == ["SIG_IGN"] * 3
+    assert code == 0
