A start logs the endpoint list as lapsed only once discovery had time to answer

Cause: the list of the start counts from when the configuration was handed over; without a grace its term has ended by then, and whether the first pulse came before the bus's first heartbeat was chance. Only the log was wrong; what may be sent is decided as before.

Change: lapsed is reported only once the bus has answered, failed, or been silent for its heartbeat's timeout.

--- a/petrelway/node/discovery.py
+++ b/petrelway/node/discovery.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -110,6 +111,7 @@
         self.silence_call = None
         self.outage_logged = False
         self.closed = False
+        self.first_answer_due_ms = -math.inf  # until when the bus may still be silent after the start
         self.stable = True  # events came for a while: the first retry after a failure goes without delay
 
     def now(self) -> float:
@@ -130,8 +132,13 @@
             DiscoveryEventReader(self.zones, self.machines, self).read_initial_events(initial_events)
         # an outage may have begun before: what was told since then counts as notified already
         self.validity.endpoint_list_confirmed(complete_ms, complete_ms)
+        self.first_answer_due_ms = self.now() + HEARTBEAT_TIMEOUT_MS
         self._dial()
 
+    def awaits_first_answer(self) -> bool:
+        """Whether the bus has not answered since the start, and it is too early to call that an outage."""
+        return self.now() < self.first_answer_due_ms
+
     # -- events (platform.discovery_codec.DiscoveryEventHandler)
 
     def endpoints_received(self, number: int, complete: bool, entries: list[EndpointEntry]) -> None:
@@ -159,6 +166,7 @@
         """Nothing is missing as of this heartbeat. It may have lain in the socket through a pause of this
         process: it counts from the turn before, when the socket was read last and held nothing."""
         heard_ms = self.turn_before_ms
+        self.first_answer_due_ms = -math.inf
         self.validity.endpoint_list_confirmed(heard_ms, heard_ms + NOTIFIED_AFTER_SILENCE_MS)
 
     def _gap_found(self, text: str) -> None:
@@ -235,6 +243,7 @@
         if connection.abandoned or self.closed:
             return
         self._abandon_connection()
+        self.first_answer_due_ms = -math.inf
         self.validity.endpoint_list_unconfirmed(self.turn_before_ms + NOTIFIED_AFTER_BREAK_MS)
         if not self.outage_logged:
             self.log.warning(
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -282,7 +282,7 @@
         """Log once when discovery's word runs out, and once when it holds again."""
         leases = self.dispatcher.front_end.gate.leases
         lapsed = not leases.list_holds(now)
-        if lapsed is self.list_lapsed:
+        if lapsed is self.list_lapsed or (lapsed and self.discovery.awaits_first_answer()):
             return
         self.list_lapsed = lapsed
         figures = {
