Reproduction: where probes are forbidden the executor in use drains (fails)

Callers see all requests rejected, though most executors are good, from the moment at which the one known executor drains until discovery is back.

--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -164,6 +164,26 @@
     assert client.served_share(limit_s) >= SERVED_SHARE
 
 
+def test_where_probes_are_forbidden_the_executor_in_use_may_drain_again_and_again(rig):
+    """All work went to one executor, and when it drained all was rejected until discovery was back."""
+    node, client = rig(limits={"probes": False})
+    lost_s = lose(node.bus, "refused")
+    limit_s = lost_s + NOTIFIED_AFTER_S + GRACE_S + SLACK_S
+    time.sleep(limit_s - time.monotonic())
+    drained_s = {}
+    for _ in range(len(node.executors) - 1):
+        latest = max(node.executors, key=lambda executor: max(executor.request_arrivals_s(), default=0.0))
+        latest.draining = True
+        drained_s[latest] = time.monotonic()
+        time.sleep(2 * GRACE_S)
+    client.stop()
+    assert len(drained_s) == len(node.executors) - 1
+    assert [late_requests(each, at + GRACE_S + SLACK_S) for each, at in drained_s.items()] == [0] * len(
+        drained_s
+    )
+    assert client.served_share(limit_s) >= SERVED_SHARE
+
+
 def test_no_executor_is_probed_while_discovery_is_well(rig):
     node, client = rig()
     time.sleep(1.5)
