Where probes are forbidden, requests are spread so that several executors stay known

Callers saw all requests rejected, with most executors good, from the drain of one executor until discovery was back: fails all or nothing, for as long as the outage lasts.

Cause: an executor's lease is renewed only by being used. Once the list's term was over the ordinary choice sent all work to the one executor whose lease held, so use and knowledge shrank together to one. Class: knowledge renewed only as a side effect of use.

Repair: routing/lease_renewal.py, asked by the choice for a first attempt. In the list's last term requests go to executors that have not answered yet, the zone with the fewest known first, until 16 are known; later to those whose leases end first. A miss proves as much as an answer, so few requests miss more; where the function is warm a renewal costs nothing. A request whose answer would come too late to prove anything is not spread, nor is a retry. An executor that turned a request away after its last proof is in doubt for a term and others come first; its lease does not end by it, since full queues turn away as well and a term bounds it.

Found and not mended: executors that load on demand.

--- a/benchmarks/discovery_outage.py
+++ b/benchmarks/discovery_outage.py
@@ -3,7 +3,10 @@
 Front ends are real routing cores on one simulated clock; executors are modelled: each answers after its work,
 turns work away while it drains, and answers probes. Printed for each size: probes for each request before
 and in the outage, most probes that one executor got within 100 ms, share served before and in the outage,
-and sends later than the rule allows. Run as `python benchmarks/discovery_outage.py`.
+and sends later than the rule allows. Then, where probes are forbidden and executors answer a miss: half of
+them drain at the moment at which that counts as notified, half of the rest each five seconds; printed are
+misses and load requests for each request, share served, and the share of the front ends that know nobody at
+the end. Run as `python benchmarks/discovery_outage.py [--without-probes]`.
 """
 
 from __future__ import annotations
@@ -42,12 +45,43 @@
 WORK_MS = 20.0
 ROUND_TRIP_MS = 1.0
 DEADLINE_MS = 2000.0
-FUNCTIONS = 40
 DRAINING_SHARE = 0.1  # of the executors, half a second into the outage
 WINDOW_MS = 100.0
 SIZES = ((3, 15), (3, 120), (50, 15), (50, 120), (200, 15), (200, 120))
 GRACES_MS = (500.0, 2000.0)
 REQUESTS_PER_S = 2.0  # at each front end
+LOAD_MS = 200.0
+ZONES = 3
+FORBIDDEN_SIZES = ((3, 15), (50, 15), (50, 120), (200, 120))
+FORBIDDEN_RATES = (2.0, 10.0, 50.0)
+MOST_REQUESTS_PER_S = 2500.0  # of a fleet, in one run
+NEXT_DRAIN_MS = 5000.0
+DRAINING_GROUPS = 2  # half of the fleet, then half of the rest
+
+
+class Play(NamedTuple):
+    """One run's fleet and what it is allowed."""
+
+    front_ends: int
+    executors: int
+    grace_ms: float
+    requests_per_s: float = REQUESTS_PER_S
+    probes: bool = True
+    answers_miss: bool = False
+    functions: int = 40
+
+    def drains_ms(self) -> dict[int, float]:
+        """When each executor that drains begins to."""
+        if self.probes:
+            count = max(1, int(DRAINING_SHARE * self.executors))
+            return dict.fromkeys(range(count), LOST_MS + NOTIFIED_AFTER_MS / 8)
+        found = {}
+        left = list(range(self.executors))
+        for group in range(DRAINING_GROUPS):
+            at_ms = LOST_MS + NOTIFIED_AFTER_MS + group * NEXT_DRAIN_MS
+            found |= dict.fromkeys(left[::2], at_ms)
+            left = left[1::2]
+        return found
 
 
 class Outcomes(NamedTuple):
@@ -57,54 +91,61 @@
     served: list[float]
     burst: int
     late: int
+    misses: list[float]
+    load_requests: list[float]
+    know_nobody: float  # share of the front ends, at the end
 
 
 class Fleet:
     """Front ends, executors and one queue of events."""
 
-    def __init__(self, front_ends: int, executors: int, grace_ms: float) -> None:
-        self.random_source = random.Random(f"{front_ends}/{executors}/{grace_ms}")
+    def __init__(self, play: Play) -> None:
+        self.play = play
+        self.random_source = random.Random(f"{play.front_ends}/{play.executors}/{play.grace_ms}")
         self.now = START_MS
         self.queue: list[tuple] = []
         self.order = itertools.count()
-        self.executors = executors
-        self.grace_ms = grace_ms
-        self.drains_ms = dict.fromkeys(
-            range(max(1, int(DRAINING_SHARE * executors))), LOST_MS + NOTIFIED_AFTER_MS / 8
-        )
-        self.front_ends = [self._front_end(number, front_ends, grace_ms) for number in range(front_ends)]
+        self.drains_ms = play.drains_ms()
+        self.loaded: set[tuple[int, int]] = set()  # executor, function
+        self.front_ends = [self._front_end(number) for number in range(play.front_ends)]
         self.serials = itertools.count()
         self.counts: Counter[tuple[str, int]] = Counter()
         self.probes_at: defaultdict[int, list[float]] = defaultdict(list)
         self.late = 0
 
-    def _front_end(self, number: int, count: int, grace_ms: float) -> FrontEnd:
-        rate = count * REQUESTS_PER_S
+    def _front_end(self, number: int) -> FrontEnd:
+        play = self.play
+        rate = play.front_ends * play.requests_per_s
         front_end = FrontEnd(
             START_MS,
             number,
-            FleetPosition(number, count, 0),
+            FleetPosition(number, play.front_ends, 0),
             [RequestClass(Idempotency.IDEMPOTENT, Scope.ALL, 0.0, 500.0, DEADLINE_MS, 1.0, 0.1)],
             [Tenant(1.0, rate)],
-            Capabilities(5, True, True, True, False, 500.0),
-            LoadingSettings(False, True, 30_000.0, 10_000.0, 0.0),
+            Capabilities(5, True, True, play.probes, False, 500.0),
+            LoadingSettings(play.answers_miss, True, 30_000.0, 10_000.0, 0.0),
             SlowStartRule(4.0, 1500.0, 0.2, 10_000.0),
             LoadQuotaRule(0.0, 0.0, 0.0),
-            DrainRule(grace_ms),
+            DrainRule(play.grace_ms),
         )
-        entries = [Endpoint(e, f"e{e}", 0, 0, 0, Stage.READY, 1.0, 0.0) for e in range(self.executors)]
+        entries = [
+            Endpoint(e, f"e{e}", e % ZONES, 0, 0, Stage.READY, 1.0, 0.0) for e in range(play.executors)
+        ]
         front_end.executors_listed(START_MS, entries, True)
-        for function in range(FUNCTIONS):
-            front_end.function_named(START_MS, function, f"f{function}", 100.0, 2, 200.0)
+        for function in range(play.functions):
+            front_end.function_named(START_MS, function, f"f{function}", 100.0, 2, LOAD_MS)
         return front_end
 
+    def _gap_ms(self) -> float:
+        return self.random_source.expovariate(self.play.requests_per_s) * 1e3
+
     def _at(self, delay_ms: float, run, *arguments) -> None:
         heapq.heappush(self.queue, (self.now + delay_ms, next(self.order), run, arguments))
 
     def run(self) -> Outcomes:
         for number, front_end in enumerate(self.front_ends):
             self._at(self.random_source.random() * HEARTBEAT_MS, self._heartbeat, front_end)
-            self._at(self.random_source.expovariate(REQUESTS_PER_S) * 1e3, self._request, number)
+            self._at(self._gap_ms(), self._request, number)
         while self.queue and self.queue[0][0] < LOST_MS + OUTAGE_MS:
             self.now, _, run, arguments = heapq.heappop(self.queue)
             run(*arguments)
@@ -114,8 +155,15 @@
             [self.counts["served", part] / taken[part] for part in (0, 1)],
             max((most_within(times) for times in self.probes_at.values()), default=0),
             self.late,
+            [self.counts["miss", part] / taken[part] for part in (0, 1)],
+            [self.counts["load", part] / taken[part] for part in (0, 1)],
+            sum(map(self._knows_nobody, self.front_ends)) / len(self.front_ends),
         )
 
+    def _knows_nobody(self, front_end: FrontEnd) -> bool:
+        leases = front_end.gate.leases
+        return not any(leases.holds(executor, self.now) for executor in front_end.ready)
+
     def _part(self) -> int:
         """0 while discovery is there, 1 once what it would tell counts as notified, 2 in between."""
         if self.now < LOST_MS:
@@ -130,10 +178,10 @@
     def _request(self, number: int) -> None:
         front_end = self.front_ends[number]
         self.counts["taken", self._part()] += 1
-        function = min(int(self.random_source.expovariate(0.2)), FUNCTIONS - 1)
+        function = min(int(self.random_source.expovariate(0.2)), self.play.functions - 1)
         front_end.request_taken(self.now, next(self.serials), 0, 0, function, DEADLINE_MS, WORK_MS, False)
         self._decide(front_end)
-        self._at(self.random_source.expovariate(REQUESTS_PER_S) * 1e3, self._request, number)
+        self._at(self._gap_ms(), self._request, number)
 
     def _decide(self, front_end: FrontEnd) -> None:
         while (action := front_end.decide(self.now)) is not None:
@@ -143,6 +191,8 @@
                 self._send(front_end, action.request, action.executor)
             elif action.kind is ActionKind.PROBE:
                 self._probe(front_end, action.executor)
+            elif action.kind is ActionKind.PREFETCH:
+                self._load(front_end, action.executor, action.function)
 
     def _wake(self, front_end: FrontEnd) -> None:
         front_end.time_passed(self.now)
@@ -153,12 +203,30 @@
 
     def _send(self, front_end: FrontEnd, request: int, executor: int) -> None:
         notified_ms = max(self.drains_ms.get(executor, 0.0), LOST_MS + NOTIFIED_AFTER_MS)
-        self.late += self._drains(executor) and self.now > notified_ms + self.grace_ms
+        self.late += self._drains(executor) and self.now > notified_ms + self.play.grace_ms
         number = front_end.requests[request].attempts_sent - 1
-        outcome = Outcome.FULL if self._drains(executor) else Outcome.SUCCEEDED
+        outcome = self._outcome(executor, front_end.requests[request].function.index)
+        self.counts["miss", self._part()] += outcome is Outcome.MISS
         took_ms = ROUND_TRIP_MS + (WORK_MS if outcome is Outcome.SUCCEEDED else 0.0)
         self._at(took_ms, self._answer, front_end, request, number, outcome, took_ms)
 
+    def _outcome(self, executor: int, function: int) -> Outcome:
+        if self._drains(executor):
+            return Outcome.FULL
+        if self.play.answers_miss and (executor, function) not in self.loaded:
+            return Outcome.MISS
+        return Outcome.SUCCEEDED
+
+    def _load(self, front_end: FrontEnd, executor: int, function: int) -> None:
+        self.counts["load", self._part()] += 1
+        took_ms = ROUND_TRIP_MS if (executor, function) in self.loaded else LOAD_MS
+        self._at(took_ms, self._load_answer, front_end, executor, function, took_ms)
+
+    def _load_answer(self, front_end: FrontEnd, executor: int, function: int, took_ms: float) -> None:
+        self.loaded.add((executor, function))
+        front_end.load_request_answered(self.now, executor, function, Outcome.SUCCEEDED, 1, took_ms)
+        self._decide(front_end)
+
     def _answer(
         self, front_end: FrontEnd, request: int, number: int, outcome: Outcome, took_ms: float
     ) -> None:
@@ -188,20 +256,53 @@
     return most
 
 
-def main() -> None:
-    print("modelled executors, real routing cores; before / in the outage, past the notified time")
+def pair(values: list[float]) -> str:
+    """Before and in the outage."""
+    return " / ".join(f"{each:.3f}" for each in values)
+
+
+def with_probes() -> int:
+    """Print what probes cost; return the late sends."""
     print(
         "front ends | executors | grace s | probes for each request | served | most probes in 100 ms | late"
     )
     late = 0
     for grace_ms in GRACES_MS:
         for front_ends, executors in SIZES:
-            found = Fleet(front_ends, executors, grace_ms).run()
+            found = Fleet(Play(front_ends, executors, grace_ms)).run()
             late += found.late
-            probes = " / ".join(f"{each:.3f}" for each in found.probes)
-            served = " / ".join(f"{each:.3f}" for each in found.served)
             size = f"{front_ends} | {executors} | {grace_ms / 1e3:g}"
-            print(f"{size} | {probes} | {served} | {found.burst} | {found.late}", flush=True)
+            print(
+                f"{size} | {pair(found.probes)} | {pair(found.served)} | {found.burst} | {found.late}",
+                flush=True,
+            )
+    return late
+
+
+def without_probes() -> int:
+    """Print what own requests keep known; return the late sends."""
+    print(
+        "front ends | executors | grace s | requests a second | functions | misses for each request | "
+        "load requests | served | know nobody at the end | late"
+    )
+    late = 0
+    for (front_ends, executors), rate, grace_ms, functions in itertools.product(
+        FORBIDDEN_SIZES, FORBIDDEN_RATES, GRACES_MS, (1, 40)
+    ):
+        if front_ends * rate > MOST_REQUESTS_PER_S:
+            continue
+        found = Fleet(Play(front_ends, executors, grace_ms, rate, False, True, functions)).run()
+        late += found.late
+        size = f"{front_ends} | {executors} | {grace_ms / 1e3:g} | {rate:g} | {functions}"
+        spent = f"{pair(found.misses)} | {pair(found.load_requests)}"
+        kept = f"{pair(found.served)} | {found.know_nobody:.2f} | {found.late}"
+        print(f"{size} | {spent} | {kept}", flush=True)
+    return late
+
+
+def main() -> None:
+    print("modelled executors, real routing cores; before / in the outage, past the notified time")
+    late = without_probes() if "--without-probes" in sys.argv[1:] else with_probes()
     sys.exit(1 if late else 0)
 
 
--- a/petrelway/routing/endpoint_lease.py
+++ b/petrelway/routing/endpoint_lease.py
@@ -5,6 +5,7 @@
 have begun to drain just after. Where no answer is at hand it is probed, if the deployment permits probes.
 
 Held by `rules.Gate`, which asks `holds` before each send; `selection` and `router` ask what may be probed.
+`lease_renewal` spreads requests where none may be.
 Times in ms.
 """
 
@@ -15,7 +16,7 @@
 from collections import Counter
 
 from .state import Executor
-from .types import Outcome
+from .types import Outcome, Stage
 
 LEASE_MARGIN_MS = 50.0  # a lease ends so long before the grace does: bytes leave a little after the decision
 LEAST_TERM_MS = 25.0  # ... but holds for so long, or no answer could ever be used
@@ -39,6 +40,7 @@
         self.notified_ms = math.inf  # what the list does not hold yet counts as notified by then
         self.confirmed_ms = math.inf  # when the list was last known to be complete
         self.counts: Counter[str] = Counter()
+        self._answered: dict[int, Executor] = {}  # whose own word may hold
 
     def list_confirmed(self, confirmed_ms: float, notified_ms: float) -> None:
         """Take the list as complete at a time; later changes count as notified by `notified_ms`."""
@@ -55,12 +57,40 @@
 
     def holds(self, executor: Executor, now: float) -> bool:
         """Whether the executor may be sent to without being asked first."""
-        return now < self.notified_ms + self.term_ms or now < executor.ready_at_ms + self.term_ms
+        return now < self.notified_ms + self.term_ms or self.own_word_holds(executor, now)
+
+    def own_word_holds(self, executor: Executor, now: float) -> bool:
+        """Whether the executor's own answer suffices, with or without discovery's word."""
+        return now < executor.ready_at_ms + self.term_ms
+
+    def known(self, now: float) -> list[Executor]:
+        """The ready executors whose own word holds."""
+        self._answered = {
+            index: executor
+            for index, executor in self._answered.items()
+            if self.own_word_holds(executor, now) and executor.endpoint.stage is Stage.READY
+        }
+        return list(self._answered.values())
+
+    def in_doubt(self, executor: Executor, now: float) -> bool:
+        """Whether the executor turned away a request after its last proof, while its drain may go unlisted.
+
+        Its lease goes on: a full queue turns requests away as well, and where all are full, ending leases by
+        it would end the service. It ends within a term, since what is turned away renews nothing. Until then
+        others are tried first.
+        """
+        if now < self.notified_ms or executor.ready_at_ms >= executor.turned_away_ms:
+            return False
+        return now < executor.turned_away_ms + self.term_ms
 
     def answered(self, executor: Executor, outcome: Outcome, sent_ms: float, now: float) -> None:
         """Renew an executor's lease by its answer to what was sent at `sent_ms`."""
         if outcome in PROVES_READY:
             executor.ready_at_ms = max(executor.ready_at_ms, sent_ms)
+            if now >= self.notified_ms:
+                self._answered[executor.endpoint.executor] = executor
+        elif outcome is Outcome.FULL:
+            executor.turned_away_ms = max(executor.turned_away_ms, sent_ms)
         if not self.list_holds(now):
             self.counts[f"answered {outcome.label}"] += 1
 
@@ -103,6 +133,6 @@
         """On whose word the executor counts as ready, and how old that is, for logs."""
         if self.list_holds(now):
             return "discovery"
-        if now < executor.ready_at_ms + self.term_ms:
+        if self.own_word_holds(executor, now):
             return f"its answer to what was sent {now - executor.ready_at_ms:.0f} ms ago"
         return "nobody"
--- a/petrelway/routing/router.py
+++ b/petrelway/routing/router.py
@@ -275,6 +275,7 @@
         attempt = Attempt(request.attempts_sent, executor, function, now, due_ms)
         request.in_flight[request.attempts_sent] = attempt
         executor.in_flight[request.index, request.attempts_sent] = attempt
+        executor.last_sent_ms = now
         self.attempts_in_flight += 1
         request.attempts_sent += 1
         if not self.loading_settings.answers_miss and function.index not in executor.resume:
--- a/petrelway/routing/rules.py
+++ b/petrelway/routing/rules.py
@@ -12,6 +12,7 @@
 import random
 
 from .endpoint_lease import EndpointLeases
+from .lease_renewal import LeaseRenewal
 from .load_quota import LoadQuota
 from .replay_safety import may_reject, may_replay
 from .slow_start import SlowStart
@@ -33,6 +34,7 @@
         leases: EndpointLeases,
     ) -> None:
         self.leases = leases
+        self.lease_renewal = LeaseRenewal(leases)
         SlowStart.__init__(self, slow_start_rule, configured_rate, own_share, random_source, start)
         LoadQuota.__init__(self, load_quota_rule)
 
--- a/petrelway/routing/selection.py
+++ b/petrelway/routing/selection.py
@@ -17,6 +17,7 @@
 
 from .hash_ring import RingWindow
 from .latency import LatencyTracking
+from .lease_renewal import RENEWAL_SHARE
 from .prefetch import UNKNOWN_LOAD_MS
 from .ranking import WINDOW, FunctionRank
 from .state import Executor, Fleet, FunctionState, Request
@@ -75,6 +76,9 @@
 
     def choose(self, request: Request, now: float) -> Executor | None:
         """The executor of the request's next attempt, or None where there is no place for it now."""
+        renewing = self._renewing(request, now)
+        if renewing is not None:
+            return renewing
         candidates = self._candidates(request.function, now)
         skilled = [executor for executor in candidates if self._eligible(request, executor, now)]
         mean = self.attempts_in_flight / max(1, len(self.ready)) * self.mean_ms
@@ -95,10 +99,41 @@
                 return executor
         return min(
             skilled,
-            key=lambda executor: (self._expected_ms(executor, request, now), self.random_source.random()),
+            key=lambda executor: (
+                self.gate.leases.in_doubt(executor, now),
+                self._expected_ms(executor, request, now),
+                self.random_source.random(),
+            ),
             default=None,
         )
 
+    def _renewing(self, request: Request, now: float) -> Executor | None:
+        """An executor whose lease this request should renew, or None: the ordinary choice goes on."""
+        renewal = self.gate.lease_renewal
+        if request.attempts_sent or not renewal.is_needed(now):
+            return None
+        function = request.function
+        latest_ms = RENEWAL_SHARE * self.gate.leases.term_ms  # a later answer proves next to nothing
+        for executor in [
+            *renewal.due(function, now),
+            *renewal.untried(function, function.ranked(self.fleet), now),
+        ]:
+            soon = self._proof_ms(executor, request, now) <= latest_ms
+            if soon and self._eligible(request, executor, now):
+                return executor
+        return None
+
+    def _proof_ms(self, executor: Executor, request: Request, now: float) -> float:
+        """How long the executor takes to prove by its answer to this request that it is ready."""
+        index = request.function.index
+        if index in executor.load_requests:
+            return math.inf  # a request waits for that load
+        if index in executor.resume:
+            return self._expected_ms(executor, request, now)
+        if self.loading_settings.answers_miss:
+            return 0.0  # a miss is answered at once
+        return self._expected_ms(executor, request, now) + request.function.load_ms
+
     def _candidates(self, function: Function, now: float) -> dict[Executor, None]:
         """The skilled executors and the preferred ones; of very many a random part."""
         found = [
@@ -114,19 +149,23 @@
         self, skilled: list[Executor], function: Function, limit: float, now: float
     ) -> list[Executor]:
         """Those with a free slot by our count, or with no more backlog than the limit. In a sparse view our
-        counts of what is in flight tell nothing, and one more request is assumed."""
+        counts of what is in flight tell nothing, and one more request is assumed. One that turned a request
+        away while discovery is out of reach has none."""
         sparse = self.requests_per_executor(now) < SPARSE_VIEW
         return [
             executor
             for executor in skilled
-            if (
-                not sparse
-                and sum(attempt.function is function for attempt in executor.in_flight.values())
-                < function.slots
+            if not self.gate.leases.in_doubt(executor, now)
+            and (
+                (
+                    not sparse
+                    and sum(attempt.function is function for attempt in executor.in_flight.values())
+                    < function.slots
+                )
+                or self.weighted_backlog(executor, now)
+                + sparse * self.service_time_factor(executor, now) * self.mean_cost_ms
+                <= limit
             )
-            or self.weighted_backlog(executor, now)
-            + sparse * self.service_time_factor(executor, now) * self.mean_cost_ms
-            <= limit
         ]
 
     def _may_overflow(self, function: Function) -> bool:
--- a/petrelway/routing/state.py
+++ b/petrelway/routing/state.py
@@ -126,6 +126,8 @@
         self.in_flight: dict[tuple[int, int], Attempt] = {}
         self.busy = 0  # those of them that do not wait for a load
         self.ready_at_ms = -math.inf  # by its own answers: when what the last of them answered was sent
+        self.turned_away_ms = -math.inf  # when what it last turned away was sent
+        self.last_sent_ms = -math.inf  # when the last attempt went out
         self.disconnected_ms = -math.inf  # when its last connection was ended by the other side
         self.probe_under_way = False
         self.probe_sent_ms = -math.inf
--- a/tests/test_endpoint_leases.py
+++ b/tests/test_endpoint_leases.py
@@ -38,7 +38,7 @@
 class Play(Host):
     """A front end beside the truth: which executor drains since when, and whether discovery is out."""
 
-    def __init__(self, grace_ms, probes=True):
+    def __init__(self, grace_ms, probes=True, answers_miss=False):
         self.now = START
         self.fe = FrontEnd(
             START,
@@ -47,7 +47,7 @@
             [RequestClass(Idempotency.IDEMPOTENT, Scope.ALL, 4000.0, 1000.0, 4000.0, 1.0, 0.1)],
             [Tenant(1.0, 300.0)],
             Capabilities(5, True, True, probes, False, 500.0),
-            LoadingSettings(False, True, 8000.0, 10000.0, 0.1),
+            LoadingSettings(answers_miss, True, 8000.0, 10000.0, 0.1),
             SlowStartRule(4.0, 1500.0, 0.2, 15000.0),
             LoadQuotaRule(0.0, 0.0, 0.0),
             DrainRule(grace_ms),
