Executors that load on demand are made warm before the list's last term

Cause, the same class: only an answer proves that an executor is ready, and one that has to load first answers after the lease that it would renew is over; so only executors that were warm could be kept known.

Repair: in the two seconds before discovery's silence counts, a first attempt goes to an executor that is warm for nothing, the zone with the fewest warm ones first, until eight are warm, if the load ends before the last term begins and within the request's latency objective. An answer counts as in time within three quarters of a term.

--- a/benchmarks/discovery_outage.py
+++ b/benchmarks/discovery_outage.py
@@ -3,10 +3,12 @@
 Front ends are real routing cores on one simulated clock; executors are modelled: each answers after its work,
 turns work away while it drains, and answers probes. Printed for each size: probes for each request before
 and in the outage, most probes that one executor got within 100 ms, share served before and in the outage,
-and sends later than the rule allows. Then, where probes are forbidden and executors answer a miss: half of
-them drain at the moment at which that counts as notified, half of the rest each five seconds; printed are
-misses and load requests for each request, share served, and the share of the front ends that know nobody at
-the end. Run as `python benchmarks/discovery_outage.py [--without-probes]`.
+and sends later than the rule allows.
+
+Then, where probes are forbidden, executors answering misses or loading on demand: half of them drain at the
+moment at which that counts as notified, half of the rest five seconds later. Printed are misses and loads for
+each request, share served, and the share of the front ends that know nobody at the end. Run as
+`python benchmarks/discovery_outage.py [--without-probes]`.
 """
 
 from __future__ import annotations
@@ -69,6 +71,7 @@
     probes: bool = True
     answers_miss: bool = False
     functions: int = 40
+    on_demand: bool = False  # a request loads what its executor lacks
 
     def drains_ms(self) -> dict[int, float]:
         """When each executor that drains begins to."""
@@ -208,6 +211,11 @@
         outcome = self._outcome(executor, front_end.requests[request].function.index)
         self.counts["miss", self._part()] += outcome is Outcome.MISS
         took_ms = ROUND_TRIP_MS + (WORK_MS if outcome is Outcome.SUCCEEDED else 0.0)
+        place = executor, front_end.requests[request].function.index
+        if self.play.on_demand and outcome is Outcome.SUCCEEDED and place not in self.loaded:
+            self.counts["load", self._part()] += 1
+            self.loaded.add(place)
+            took_ms += LOAD_MS
         self._at(took_ms, self._answer, front_end, request, number, outcome, took_ms)
 
     def _outcome(self, executor: int, function: int) -> Outcome:
@@ -282,18 +290,20 @@
 def without_probes() -> int:
     """Print what own requests keep known; return the late sends."""
     print(
-        "front ends | executors | grace s | requests a second | functions | misses for each request | "
-        "load requests | served | know nobody at the end | late"
+        "front ends | executors | grace s | requests a second | functions | on demand | "
+        "misses for each request | loads | served | know nobody at the end | late"
     )
     late = 0
-    for (front_ends, executors), rate, grace_ms, functions in itertools.product(
-        FORBIDDEN_SIZES, FORBIDDEN_RATES, GRACES_MS, (1, 40)
+    for (front_ends, executors), rate, grace_ms, functions, on_demand in itertools.product(
+        FORBIDDEN_SIZES, FORBIDDEN_RATES, GRACES_MS, (1, 40), (False, True)
     ):
         if front_ends * rate > MOST_REQUESTS_PER_S:
             continue
-        found = Fleet(Play(front_ends, executors, grace_ms, rate, False, True, functions)).run()
+        play = Play(front_ends, executors, grace_ms, rate, False, not on_demand, functions, on_demand)
+        found = Fleet(play).run()
         late += found.late
-        size = f"{front_ends} | {executors} | {grace_ms / 1e3:g} | {rate:g} | {functions}"
+        kind = "yes" if on_demand else "no"
+        size = f"{front_ends} | {executors} | {grace_ms / 1e3:g} | {rate:g} | {functions} | {kind}"
         spent = f"{pair(found.misses)} | {pair(found.load_requests)}"
         kept = f"{pair(found.served)} | {found.know_nobody:.2f} | {found.late}"
         print(f"{size} | {spent} | {kept}", flush=True)
--- a/petrelway/routing/lease_renewal.py
+++ b/petrelway/routing/lease_renewal.py
@@ -7,6 +7,9 @@
 function is warm, if that renews a lease as well; to others only as long as few are known, since a miss costs
 a load. With fewer requests than the leases need, those that nobody renews end, and the rest hold.
 
+Executors that load on demand prove nothing in time by a request whose function they lack. There requests are
+spread a little sooner, so that several executors are warm when the list's last term begins.
+
 Asked by `selection.Selection.choose` for a request's first attempt. Times in ms.
 """
 
@@ -22,6 +25,10 @@
 RENEWAL_SHARE = 0.5  # a lease is renewed once this share of its term is over ...
 LATE_RENEWAL_SHARE = 0.75  # ... by a request that may miss, once this share is over
 
+# Where executors load on demand: so many are warm for something, or are made so ...
+WARM_EXECUTORS = 8
+WARMING_SPAN_MS = 2000.0  # ... from so long before discovery's silence counts; heartbeats come each second
+
 
 class LeaseRenewal:
     """Says which executors a request should go to, so that they stay known."""
@@ -33,6 +40,22 @@
         """Whether requests alone tell who is ready: discovery's silence counts, and nobody may be probed."""
         return now >= self.leases.notified_ms and not self.leases.probes
 
+    def is_warming_due(self, now: float) -> bool:
+        """Whether discovery's silence counts soon, and requests alone will tell who is ready."""
+        begin_ms = self.leases.notified_ms - WARMING_SPAN_MS
+        return begin_ms <= now < self.leases.notified_ms and not self.leases.probes
+
+    def to_be_warmed(self, ranked: list[Executor]) -> list[Executor]:
+        """The executors that should load a function, those of the zones with the fewest warm ones first.
+
+        `ranked`: the ready executors by the function's shared rank.
+        """
+        warm = Counter(executor.endpoint.zone for executor in ranked if executor.resume)
+        if warm.total() >= WARM_EXECUTORS:
+            return []
+        empty = [executor for executor in ranked if not executor.resume]
+        return sorted(empty, key=lambda executor: warm[executor.endpoint.zone])
+
     def due(self, function: FunctionState, now: float) -> list[Executor]:
         """The known executors whose leases end soon: first where the function is warm, oldest proof first."""
         known = self.leases.known(now)
--- a/petrelway/routing/selection.py
+++ b/petrelway/routing/selection.py
@@ -17,7 +17,7 @@
 
 from .hash_ring import RingWindow
 from .latency import LatencyTracking
-from .lease_renewal import RENEWAL_SHARE
+from .lease_renewal import LATE_RENEWAL_SHARE
 from .prefetch import UNKNOWN_LOAD_MS
 from .ranking import WINDOW, FunctionRank
 from .state import Executor, Fleet, FunctionState, Request
@@ -76,9 +76,9 @@
 
     def choose(self, request: Request, now: float) -> Executor | None:
         """The executor of the request's next attempt, or None where there is no place for it now."""
-        renewing = self._renewing(request, now)
-        if renewing is not None:
-            return renewing
+        spread = self._warming(request, now) or self._renewing(request, now)
+        if spread is not None:
+            return spread
         candidates = self._candidates(request.function, now)
         skilled = [executor for executor in candidates if self._eligible(request, executor, now)]
         mean = self.attempts_in_flight / max(1, len(self.ready)) * self.mean_ms
@@ -113,7 +113,7 @@
         if request.attempts_sent or not renewal.is_needed(now):
             return None
         function = request.function
-        latest_ms = RENEWAL_SHARE * self.gate.leases.term_ms  # a later answer proves next to nothing
+        latest_ms = LATE_RENEWAL_SHARE * self.gate.leases.term_ms  # a later answer proves next to nothing
         for executor in [
             *renewal.due(function, now),
             *renewal.untried(function, function.ranked(self.fleet), now),
@@ -123,6 +123,18 @@
                 return executor
         return None
 
+    def _warming(self, request: Request, now: float) -> Executor | None:
+        """An executor that this request should make warm before its lease depends on that, or None."""
+        renewal = self.gate.lease_renewal
+        if request.attempts_sent or self.loading_settings.answers_miss or not renewal.is_warming_due(now):
+            return None
+        latest_ms = min(self.gate.leases.notified_ms, request.latency_objective_at_ms)
+        for executor in renewal.to_be_warmed(request.function.ranked(self.fleet)):
+            in_time = now + self._proof_ms(executor, request, now) <= latest_ms
+            if in_time and self._eligible(request, executor, now):
+                return executor
+        return None
+
     def _proof_ms(self, executor: Executor, request: Request, now: float) -> float:
         """How long the executor takes to prove by its answer to this request that it is ready."""
         index = request.function.index
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -3,7 +3,12 @@
 import pytest
 from test_endpoint_leases import EXECUTORS, NOTIFIED_AFTER_MS, Play
 
-from petrelway.routing.lease_renewal import KNOWN_EXECUTORS, LATE_RENEWAL_SHARE, RENEWAL_SHARE
+from petrelway.routing.lease_renewal import (
+    KNOWN_EXECUTORS,
+    LATE_RENEWAL_SHARE,
+    RENEWAL_SHARE,
+    WARM_EXECUTORS,
+)
 from petrelway.routing.types import ActionKind, Outcome, Stage
 
 GRACE_MS = 500.0
@@ -187,6 +192,41 @@
     assert renewing(Service(), attempts_sent=1) is None
 
 
+def warming(service, before_ms=1000.0, **changes):
+    """Which executor a request would load its function at, so long before discovery's silence counts."""
+    service.lose()
+    service.advance(NOTIFIED_AFTER_MS - before_ms)
+    request = service.fe.requests[service.take(work=10.0)]
+    for name, value in changes.items():
+        setattr(request, name, value)
+    return service.fe._warming(request, service.now)
+
+
+def test_executors_that_load_on_demand_are_made_warm_before_the_last_term():
+    assert warming(Service(answers_miss=False)) is not None
+    assert warming(Service(answers_miss=True)) is None  # a miss proves enough
+    assert warming(Service(answers_miss=False, probes=True)) is None
+    assert warming(Service(answers_miss=False), before_ms=3000.0) is None  # discovery may just be slow
+    assert warming(Service(answers_miss=False), before_ms=0.0) is None
+    assert warming(Service(answers_miss=False), before_ms=300.0) is None  # the load would take longer
+    assert warming(Service(answers_miss=False), attempts_sent=1) is None
+    assert warming(Service(answers_miss=False), latency_objective_at_ms=0.0) is None
+
+
+def test_only_a_few_are_made_warm_and_of_each_zone():
+    service, function, renewal = many(WARM_EXECUTORS + 4)
+    ranked = function.ranked(service.fe.fleet)
+    assert len(renewal.to_be_warmed(ranked)) == WARM_EXECUTORS + 4
+    for executor in [e for e in ranked if e.endpoint.zone == 0][:2]:
+        service.fe._add_skill(executor, function, service.now)
+    found = renewal.to_be_warmed(ranked)
+    zones = [executor.endpoint.zone for executor in found]
+    assert zones == [1] * (len(ranked) // 2) + [0] * (len(ranked) // 2 - 2)
+    for executor in ranked[:WARM_EXECUTORS]:
+        service.fe._add_skill(executor, function, service.now)
+    assert renewal.to_be_warmed(ranked) == []
+
+
 def many(count, zones=2):
     """A front end with so many executors in the last term of its list, and its function."""
     service = Service()
