Soak: probes forbidden, signals in series while no pipe can be written to

Each seed's own draws stay as they were; two more, from generators of their own, forbid probes in four seeds of ten and send SIGHUP each 20 ms to all front ends, whose writes to their own pipes fail, in four of ten. The rig reads what the front ends write (a full pipe would stop them), and the judge newly holds a process that ended by itself after SIGTERM to exit 0.

--- a/tests/discovery_soak.py
+++ b/tests/discovery_soak.py
@@ -1,8 +1,9 @@
 """Soak of real front ends through outages of discovery that cross other faults; judged by the fakes' records.
 
-One seed draws the outage and what crosses it. Some thirty seconds are played; see `FAULTS`. The judge reads
-what executors and clients recorded, never the program's own words. How late this rig itself was is measured
-with each run and given to the rules as slack.
+One seed draws the outage and what crosses it. Some thirty seconds are played; see `FAULTS`. In some seeds
+probes are forbidden; in some the front ends can't write to their own pipes while signals come in series. The
+judge reads what executors and clients recorded, never the program's own words. How late this rig itself was
+is measured with each run and given to the rules as slack.
 
 Run by hand: `PYTHONPATH=tests python tests/discovery_soak.py --seeds 50`; a line a seed, exit 1 if it finds
 anything.
@@ -12,6 +13,7 @@
 
 import argparse
 import concurrent.futures
+import errno
 import itertools
 import json
 import random
@@ -27,6 +29,7 @@
 
 from nodes import WAIT_S, Client, serving, settings, spare, start
 
+from petrelway.fakes.failing_calls import FailingCalls, build
 from petrelway.fakes.platform_peers import Bus, Executor, answer, configuration, request
 
 FRONT_ENDS = 3
@@ -42,6 +45,9 @@
 QUIET_S = 1.0
 OUTAGE_S = (6.0, 9.0)
 SERVED_SHARE = 0.5  # of what is asked of front ends that nothing else happens to
+PROBES_FORBIDDEN_SHARE = 0.4  # of the seeds
+SIGNALS_SHARE = 0.4  # of the seeds
+SIGNAL_INTERVAL_S = 0.02
 FAULTS = ("drain early", "drain late", "replaced", "pause", "terminate", "reload", "queues full")
 
 
@@ -92,8 +98,13 @@
 class FrontEnd:
     """One front end's process, and the client that keeps using its open connection until the kill."""
 
-    def __init__(self, number: int, path: Path, known: tuple, bus: str, grace_s: float) -> None:
+    def __init__(
+        self, number: int, path: Path, known: tuple, bus: str, grace_s: float, probes: bool, calls: bool
+    ) -> None:
+        """`calls`: its system calls can be made to fail, by `failing`."""
         self.number = number
+        self.probes = probes
+        self.failing = FailingCalls(build(path), path / f"{number}.plan") if calls else None
         self.path = path / f"{number}.json"
         self.address = spare()
         self.known = known
@@ -104,14 +115,25 @@
         self.exit_code: int | None = None
         self.log = b""
         self.write(bus)
-        self.process = start(self.path)
+        self.process = start(self.path, more=self.failing.environment() if self.failing else {})
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+
+    def _read(self) -> None:
+        """Read what it writes, so that a full pipe does not stop it."""
+        while data := self.process.stdout.read1(1 << 16):
+            self.log += data
 
     def write(self, bus: str) -> None:
         classes = {
             name: {"aimS": 0.4, "deadlineS": DEADLINE_S, **({"windowS": 8.0} if name == "keyed" else {})}
             for name in ("safe", "keyed", "once")
         }
-        told = settings(classes=classes, invariants={"stopSendingWithinS": self.grace_s})
+        told = settings(
+            limits={"probes": self.probes},
+            classes=classes,
+            invariants={"stopSendingWithinS": self.grace_s},
+        )
         data = configuration(
             self.address, bus, executors=self.known, settings=told, name=f"n{self.number}", sockets=256
         )
@@ -123,9 +145,10 @@
     def end(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
-        said, _ = self.process.communicate(timeout=WAIT_S)
-        self.log = said
-        self.exit_code = self.process.returncode
+        self.exit_code = self.process.wait(WAIT_S)
+        self.reader.join(WAIT_S)
+        if self.failing:
+            self.failing.close()
 
 
 class SoakClient:
@@ -230,15 +253,25 @@
         self.faults = self.random_source.sample(FAULTS, count)
         self.crowd = self.random_source.random() < 0.3
         self.pause_s = self.random_source.uniform(0.5, 5.0)
+        self.probes = random.Random(f"{seed}/probes").random() >= PROBES_FORBIDDEN_SHARE
+        self.signals = random.Random(f"{seed}/signals").random() < SIGNALS_SHARE
+        also = {"crowd": self.crowd, "probes forbidden": not self.probes, "signals": self.signals}
         self.result = Result(
-            seed, [f"grace {self.grace_s}", self.how, *self.faults, "crowd"][: 2 + count + self.crowd]
+            seed,
+            [
+                f"grace {self.grace_s}",
+                self.how,
+                *self.faults,
+                *(name for name, plays in also.items() if plays),
+            ],
         )
         self.executors = [SoakExecutor(number) for number in range(1, EXECUTORS + 1)]
         self.retired: list[SoakExecutor] = []
         self.bus = Bus()
         known = tuple((each.number, each.port) for each in self.executors)
         self.front_ends = [
-            FrontEnd(number, path, known, self.bus.address, self.grace_s) for number in range(FRONT_ENDS)
+            FrontEnd(number, path, known, self.bus.address, self.grace_s, self.probes, self.signals)
+            for number in range(FRONT_ENDS)
         ]
         self.serial = itertools.count(1 + (seed << 32))
         self.clients: list[SoakClient] = []
@@ -256,6 +289,8 @@
             time.sleep(QUIET_S)
             outage_s = self.random_source.uniform(*OUTAGE_S)
             self._lose_discovery()
+            if self.signals:
+                self._start_thread(self._signal_in_series, time.monotonic() + outage_s)
             for fault in self.faults:
                 self._later(self.random_source.uniform(0.2, outage_s - 2.0), fault)
             time.sleep(outage_s)
@@ -297,6 +332,16 @@
         time.sleep(1.0)
         self.bus.close()
 
+    def _signal_in_series(self, end_s: float) -> None:
+        """No front end can write to its own pipes, and SIGHUP comes again and again."""
+        for front_end in self.front_ends:
+            front_end.failing.fail("write_pipe", errno.EIO)
+        while time.monotonic() < end_s:
+            for front_end in self.front_ends:
+                if front_end.process.poll() is None:
+                    front_end.signal(signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL_S)
+
     def _start_thread(self, run, *arguments) -> None:
         thread = threading.Thread(target=run, args=arguments, daemon=True)
         self.timers.append(thread)
@@ -442,8 +487,12 @@
 
     def _judge_processes(self) -> None:
         for front_end in self.front_ends:
-            if front_end.terminated_s is None and front_end.process.poll() is not None:
-                self.result.findings.append(f"crash: front end {front_end.number}")
+            code = front_end.process.poll()
+            if front_end.terminated_s is None and code is not None:
+                self.result.findings.append(f"crash: front end {front_end.number}, {code}")
+            killed = code == -signal.SIGKILL and front_end.killed_s is not None
+            if front_end.terminated_s is not None and code != 0 and not killed:
+                self.result.findings.append(f"exit: front end {front_end.number}, {code}")
 
 
 def play(seed: int) -> Result:
--- a/tests/test_discovery_soak.py
+++ b/tests/test_discovery_soak.py
@@ -4,8 +4,9 @@
 from discovery_soak import play
 
 # silent with early and late drains and a crowd; refused with a pause, the end of a process and a crowd; a bus
-# that comes back for a moment with a replacement at the same address, reloads and a crowd
-SEEDS = (8, 10, 14)
+# that comes back for a moment with a replacement at the same address, reloads and a crowd; probes forbidden
+# with full queues, the end of a process, a crowd and signals in series that can't wake it
+SEEDS = (8, 10, 14, 5)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -80,6 +80,16 @@
     assert service.rejected == 0
 
 
+def test_where_probes_go_unanswered_the_executor_in_use_may_drain():
+    """Probes are permitted, so requests keep nobody else known; when it drained all was rejected."""
+    service = lost(probes=True)
+    for _ in range(EXECUTORS - 1):
+        service.drain(service.order[-1])
+        service.ask_for(1000.0)
+    service.advance(4000.0)
+    assert service.rejected == 0
+
+
 @pytest.mark.parametrize("zone", [0, 1])
 def test_a_zone_may_drain_in_the_moment_in_which_that_counts_as_notified(zone):
     service = Service()
