--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -18,6 +18,7 @@
 EXECUTORS = 3
 SERIES_S = 3.0
 INTERVAL_S = 0.003
+END_INTERVAL_S = 0.0005  # signals without any pause leave a busy machine's process no time to end
 DEPTH = 40  # frames in which the signals are raised
 
 
@@ -87,6 +88,7 @@
         end = time.monotonic() + WAIT_S
         while n.process.poll() is None and time.monotonic() < end:
             n.signal(signal.SIGHUP)
+            time.sleep(END_INTERVAL_S)
     assert n.process.returncode == 0
 
 
@@ -95,6 +97,8 @@
 import errno, os, signal, sys
 from petrelway.common.process_clock import steady_reactor
 
+# a shell's background job inherits that SIGINT is ignored
+signal.signal(signal.SIGINT, signal.default_int_handler)
 reactor = steady_reactor()
 real_write = os.write
 
