--- a/review/rig.py
+++ b/review/rig.py
@@ -123,10 +123,6 @@
         self.record.note("signal", name=name, signal=number.name)
         process.send_signal(number)
 
-    def output(self, name: str) -> str:
-        file = self.folder / f"{name}.out"
-        return file.read_text(errors="replace") if file.exists() else ""
-
 
 def _short(argument: str) -> str:
     return Path(argument).name if argument.startswith("/") else argument
