Review rig: ports are drawn at random, so that scripts beside each other do not collide

Cause: ports were counted up from the process id, and three scripts started together drew the same ones.

--- a/review/rig.py
+++ b/review/rig.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,7 +34,7 @@
 def free_ports(count: int, kinds: tuple[int, ...] = (socket.SOCK_STREAM,)) -> list[int]:
     """Return ports of 127.0.0.1, below the range for outgoing connections, that are free now."""
     found = []
-    number = 12000 + os.getpid() % 15000
+    number = random.SystemRandom().randrange(12000, 30000)
     while len(found) < count:
         number = 12000 if number >= 30000 else number + 1
         try:
