Log what a client connection's timeout was judged by, once for each reason

Change: the state notes since when part of a line is buffered; at the first close of each reason (but idle ones, which are ordinary) a warning `client connection timed out` gives the age of the silence, of the partial line and of unread answers. No decision reads the new time yet.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -120,6 +120,7 @@
             self.next_read = self.listener.clock.callLater(0, self._read_lines)
 
     def _all_lines_read(self) -> None:
+        self.state.input_read(self.listener.now(), self.lines.has_partial_line())
         if self.paused:
             self.transport.resumeProducing()
         self.paused = False
@@ -270,6 +271,16 @@
         has_partial_line = self.next_read is None and self.lines.has_partial_line()
         return self.state.timeout_reason(now, has_partial_line)
 
+    def ages_ms(self, now: float) -> dict[str, float | None]:
+        """Return what a timeout is judged by, for the log, in ms; None where nothing of the kind is under way."""
+        state = self.state
+        ages = {
+            "silence_ms": state.last_activity_ms,
+            "partial_line_ms": state.partial_line_since_ms,
+            "unread_ms": state.unread_since_ms,
+        }
+        return {name: None if since is None else round(now - since) for name, since in ages.items()}
+
     def end(self, reason: CloseReason) -> None:
         """Stop reading requests, have the open ones answered at once, and close when that is written."""
         if not self.state.reading:
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -164,11 +164,14 @@
         now = self.now()
         for connection in suspects:
             reason = connection.timeout_reason(now)
+            if reason is None:
+                continue
+            if reason is not CloseReason.IDLE:
+                self.warn_once("client connection timed out", reason, reason=reason, **connection.ages_ms(now))
             if reason is CloseReason.PARTIAL_LINE:
                 error = ClientLineError(None, ErrorCode.INVALID_REQUEST, reason)
                 connection.transport.write(client_answers.error_line(error))
-            if reason is not None:
-                connection.end(reason)
+            connection.end(reason)
 
     # -- the end
 
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -87,6 +87,7 @@
         self.errors = 0
         self.received_line = False  # whether a complete line that is not empty was received
         self.last_activity_ms = now  # time of the last complete line or answer, or of the start
+        self.partial_line_since_ms: float | None = None  # time since which part of a line is buffered
         self.unread_since_ms: float | None = None  # time since which the client does not read answers
         self.unread_lines = 0  # lines received while answers are not read
 
@@ -95,6 +96,7 @@
     def line_received(self, now: float) -> CloseReason | None:
         """Note a complete line that is not empty; return the reason if the connection has to end for it."""
         self.last_activity_ms = now
+        self.partial_line_since_ms = None
         self.received_line = True
         if self.unread_since_ms is not None:
             self.unread_lines += 1
@@ -102,6 +104,13 @@
                 return CloseReason.ANSWERS_UNREAD
         return None
 
+    def input_read(self, now: float, has_partial_line: bool) -> None:
+        """Note that all complete lines were read, and whether part of a further line is buffered."""
+        if not has_partial_line:
+            self.partial_line_since_ms = None
+        elif self.partial_line_since_ms is None:
+            self.partial_line_since_ms = now
+
     def error_found(self, ends_connection: bool) -> CloseReason | None:
         """Note a rejected line; return the reason if the connection has to end for it.
 
