Count the time of a client's line from its own first byte, not from the rest before it

What callers saw: after a rest of over 2 s (5 s are allowed), or on a connection whose first line began late, a request whose rest came 0.3 s behind its first segment was lost: error "half a line for too long" without a number, connection closed. Ruled out: input left unread (the line's age would be over 2 s), eviction and drain (other reasons), a stale flag (lines in one piece are served after the same rest). Change: the state keeps when the first byte of the line came that is not complete yet; the 2 s count from there. A whole line begins the next one's time, an answer does not. So that empty lines, each with the beginning of the next, hold no connection for ever, a connection also ends 2 s past its time without a message. While a request is open nothing is closed, as before. Why it works: no other event can make a line older than it is, and a line that stalls or trickles keeps its bound and reason.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -268,11 +268,10 @@
 
     def timeout_reason(self, now: float) -> CloseReason | None:
         """Return the timeout that has expired on this connection, or None."""
-        has_partial_line = self.next_read is None and self.lines.has_partial_line()
-        return self.state.timeout_reason(now, has_partial_line)
+        return self.state.timeout_reason(now)
 
     def ages_ms(self, now: float) -> dict[str, float | None]:
-        """Return what a timeout is judged by, for the log, in ms; None where nothing of the kind is under way."""
+        """Return what a timeout is judged by, for the log, in ms; None for what is not under way."""
         state = self.state
         ages = {
             "silence_ms": state.last_activity_ms,
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -167,7 +167,9 @@
             if reason is None:
                 continue
             if reason is not CloseReason.IDLE:
-                self.warn_once("client connection timed out", reason, reason=reason, **connection.ages_ms(now))
+                self.warn_once(
+                    "client connection timed out", reason, reason=reason, **connection.ages_ms(now)
+                )
             if reason is CloseReason.PARTIAL_LINE:
                 error = ClientLineError(None, ErrorCode.INVALID_REQUEST, reason)
                 connection.transport.write(client_answers.error_line(error))
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -14,7 +14,8 @@
 OPEN_REQUESTS_BOUND = 32  # open requests on one connection
 ERRORS_BOUND = 16  # rejected lines at which a connection is closed
 UNREAD_LINES_BOUND = 256  # lines from a client that does not read its answers; with more it is closed
-SILENCE_TIMEOUT_MS = 2000.0  # for a connection that sent no line yet, or only part of one
+SILENCE_TIMEOUT_MS = 2000.0  # for a connection that sent no line yet
+PARTIAL_LINE_TIMEOUT_MS = 2000.0  # for one line, from its first byte to its end
 IDLE_TIMEOUT_MS = 5000.0  # for a connection without an open request; the clients' own timeout is shorter
 UNREAD_TIMEOUT_MS = 2000.0  # for a connection whose client does not read its answers
 EVICTION_MIN_AGE_MS = 100.0  # a connection active within this time is not closed to free capacity
@@ -87,7 +88,7 @@
         self.errors = 0
         self.received_line = False  # whether a complete line that is not empty was received
         self.last_activity_ms = now  # time of the last complete line or answer, or of the start
-        self.partial_line_since_ms: float | None = None  # time since which part of a line is buffered
+        self.partial_line_since_ms: float | None = None  # first byte of the line that is not complete yet
         self.unread_since_ms: float | None = None  # time since which the client does not read answers
         self.unread_lines = 0  # lines received while answers are not read
 
@@ -169,8 +170,12 @@
         """Whether the connection is to be closed and no request is open on it."""
         return self.phase is Phase.SETTLING and not self.open_requests
 
-    def timeout_reason(self, now: float, has_partial_line: bool) -> CloseReason | None:
-        """Return the timeout that has expired, or None; with a request open, silence is no timeout."""
+    def timeout_reason(self, now: float) -> CloseReason | None:
+        """Return the timeout that has expired, or None.
+
+        While a request is open, only unread answers time out. A line that stays partial meanwhile admits no
+        further request, so the connection ends at the latest when the open ones have been answered.
+        """
         if not self.reading:
             return None
         if self.unread_since_ms is not None and now - self.unread_since_ms > UNREAD_TIMEOUT_MS:
@@ -178,11 +183,15 @@
         if self.open_requests:
             return None
         silence_ms = now - self.last_activity_ms
-        if has_partial_line:
-            return CloseReason.PARTIAL_LINE if silence_ms > SILENCE_TIMEOUT_MS else None
-        if not self.received_line:
-            return CloseReason.SILENT if silence_ms > SILENCE_TIMEOUT_MS else None
-        return CloseReason.IDLE if silence_ms > IDLE_TIMEOUT_MS else None
+        bound_ms = IDLE_TIMEOUT_MS if self.received_line else SILENCE_TIMEOUT_MS
+        if self.partial_line_since_ms is not None:
+            line_ms = now - self.partial_line_since_ms
+            # the second condition ends a client that begins lines again and again and sends only empty ones
+            expired = line_ms > PARTIAL_LINE_TIMEOUT_MS or silence_ms > bound_ms + PARTIAL_LINE_TIMEOUT_MS
+            return CloseReason.PARTIAL_LINE if expired else None
+        if silence_ms <= bound_ms:
+            return None
+        return CloseReason.IDLE if self.received_line else CloseReason.SILENT
 
     def may_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed to free capacity for another one."""
--- /dev/null
+++ b/tests/test_partial_lines.py
@@ -0,0 +1,159 @@
+"""Requests whose line comes in pieces: a line's time counts from its own first byte."""
+
+import contextlib
+import itertools
+import time
+
+import pytest
+from nodes import Node, until
+
+from petrelway.fakes.platform_peers import Executor, Holder, request
+from petrelway.node import client_listener, connection_state
+from petrelway.node.connection_state import ClientConnectionState, CloseReason
+
+PAST_A_SWEEP_S = 2 * (client_listener.SWEEP_INTERVAL_MS + client_listener.RECHECK_DELAY_MS) / 1e3
+LINE_BOUND_S = connection_state.PARTIAL_LINE_TIMEOUT_MS / 1e3
+RESTED_S = connection_state.SILENCE_TIMEOUT_MS / 1e3 + 0.5  # less than the time after which it counts as idle
+FIRST_PIECE = 50  # bytes
+TTL_MS = 4000
+
+
+def call(number):
+    return f"{number:016x}"
+
+
+@contextlib.contextmanager
+def node(path, executor):
+    front_end = Node(path, [executor])
+    try:
+        yield front_end
+    finally:
+        if front_end.process.poll() is None:
+            front_end.process.kill()
+            front_end.process.communicate()
+        executor.close()
+        front_end.bus.close()
+
+
+def say_in_two_pieces(client, line, pause_s=PAST_A_SWEEP_S):
+    """The connections are checked for timeouts between the two pieces, whenever the process does that."""
+    client.say(line[:FIRST_PIECE])
+    time.sleep(pause_s)
+    client.say(line[FIRST_PIECE:])
+
+
+@pytest.mark.parametrize("rest_s", [0.2, RESTED_S])
+def test_a_request_in_two_pieces_after_a_rest_is_served(tmp_path, rest_s):
+    """Guards against: a line that has just begun counts as old as its connection's rest, and is lost."""
+    with node(tmp_path, Executor()) as n:
+        client = n.client()
+        client.say(request(1, call=call(1), ttl=TTL_MS))
+        assert client.hear()["id"] == 1
+        time.sleep(rest_s)
+        say_in_two_pieces(client, request(2, call=call(2), ttl=TTL_MS))
+        answer = client.hear()
+        assert answer["id"] == 2 and "result" in answer
+        assert CloseReason.PARTIAL_LINE not in n.events()[-1]["clients"]
+
+
+def test_a_first_request_in_two_pieces_on_a_connection_that_began_late_is_served(tmp_path):
+    """Guards against: a line that has just begun counts as old as its new connection, and is lost."""
+    with node(tmp_path, Executor()) as n:
+        client = n.client()
+        time.sleep(connection_state.SILENCE_TIMEOUT_MS / 1e3 - 0.3)
+        say_in_two_pieces(client, request(1, call=call(1), ttl=TTL_MS), 0.3 + PAST_A_SWEEP_S)
+        answer = client.hear()
+        assert answer["id"] == 1 and "result" in answer
+
+
+def test_a_line_fed_byte_by_byte_ends_at_its_bound_with_its_reason(tmp_path):
+    """Guards against: a client that sends a byte now and then holds its connection for ever."""
+    with node(tmp_path, Executor()) as n:
+        client = n.client()
+        client.say(request(1, call=call(1), ttl=TTL_MS))
+        client.hear()
+        time.sleep(RESTED_S)
+        client.sock.settimeout(0.1)
+        began = time.monotonic()
+        heard = b""
+        for byte in itertools.cycle(b" "):
+            with contextlib.suppress(ConnectionError):
+                client.say(bytes([byte]))
+            try:
+                data = client.sock.recv(4096)
+                heard += data
+            except TimeoutError:
+                continue
+            if not data:
+                break
+        assert time.monotonic() - began >= LINE_BOUND_S
+        assert CloseReason.PARTIAL_LINE.encode() in heard
+        events = n.events()
+        assert events[-1]["clients"][CloseReason.PARTIAL_LINE] == 1
+        (timed_out,) = [event for event in events if event["event"] == "client connection timed out"]
+        assert timed_out["partial_line_ms"] >= connection_state.PARTIAL_LINE_TIMEOUT_MS
+        assert timed_out["silence_ms"] >= timed_out["partial_line_ms"] + 1e3 * (RESTED_S - 0.1)
+
+
+def test_a_stalled_line_ends_its_connection_once_the_open_request_is_answered(tmp_path):
+    """Guards against: an answer gives a stalled line its whole time again, or a line ends an open request."""
+    holder = Holder()
+    with node(tmp_path, holder) as n:
+        client = n.client()
+        client.say(request(1, call=call(1), ttl=TTL_MS) + request(2, call=call(2))[:FIRST_PIECE])
+        until(lambda: holder.held)
+        time.sleep(LINE_BOUND_S + PAST_A_SWEEP_S)
+        holder.fulfil(bytes.fromhex(call(1)))
+        answer = client.hear()
+        assert answer["id"] == 1 and "result" in answer
+        assert client.hear()["error"]["message"] == CloseReason.PARTIAL_LINE
+        assert client.hear() is None
+        (timed_out,) = [e for e in n.events() if e["event"] == "client connection timed out"]
+        assert (
+            timed_out["silence_ms"] < connection_state.PARTIAL_LINE_TIMEOUT_MS <= timed_out["partial_line_ms"]
+        )
+
+
+# -- the state alone, with the clock handed in
+
+
+def test_each_line_has_its_own_beginning():
+    state = ClientConnectionState(0.0)
+    state.input_read(1900.0, True)
+    state.input_read(3000.0, True)  # more of the same line
+    assert state.timeout_reason(1900.0 + connection_state.PARTIAL_LINE_TIMEOUT_MS) is None
+    assert state.timeout_reason(3901.0) is CloseReason.PARTIAL_LINE
+    state.line_received(3950.0)
+    state.input_read(3950.0, True)  # and part of the next one
+    assert state.timeout_reason(3950.0 + connection_state.PARTIAL_LINE_TIMEOUT_MS) is None
+    assert state.timeout_reason(5951.0) is CloseReason.PARTIAL_LINE
+    state.line_received(6000.0)
+    state.input_read(6000.0, False)
+    assert state.timeout_reason(6000.0 + connection_state.IDLE_TIMEOUT_MS) is None
+    assert state.timeout_reason(11_001.0) is CloseReason.IDLE
+
+
+@pytest.mark.parametrize("received_line", [False, True])
+def test_lines_begun_again_and_again_without_a_message_end_too(received_line):
+    """Guards against: empty lines, each with the beginning of the next, hold a connection for ever."""
+    state = ClientConnectionState(0.0)
+    bound_ms = connection_state.SILENCE_TIMEOUT_MS
+    if received_line:
+        state.line_received(0.0)
+        bound_ms = connection_state.IDLE_TIMEOUT_MS
+    end_ms = bound_ms + connection_state.PARTIAL_LINE_TIMEOUT_MS
+    for now in range(1, int(end_ms), 100):
+        state.input_read(now, False)  # an empty line
+        state.input_read(now, True)
+        assert state.timeout_reason(now) is None
+    assert state.timeout_reason(end_ms + 1.0) is CloseReason.PARTIAL_LINE
+
+
+def test_unread_answers_end_a_connection_whatever_its_line_does():
+    state = ClientConnectionState(0.0)
+    state.line_received(0.0)
+    state.input_read(0.0, False)
+    state.answers_unread(100.0)
+    state.input_read(1000.0, True)
+    assert state.timeout_reason(100.0 + connection_state.UNREAD_TIMEOUT_MS) is None
+    assert state.timeout_reason(2101.0) is CloseReason.ANSWERS_UNREAD
