Let a line that began before a drain be completed and answered

What callers saw: a request of which the first part had been read when the drain closed connections (0.7 s after SIGTERM) got no answer; its connection was closed, however young the line was. The rest may be late for no fault of the client's. Change: a connection with part of a line stays; the line is ended by its own 2 s, by the longest deadline (less 0.1 s) after the drain began, or by its end, whose answer is a refusal at once. Without such a line the drain takes no longer than before. Why it works: what a client wrote before the drain is read and answered within the time in which an answer is of use.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -250,12 +250,21 @@
     # -- the end
 
     def close_if_drained(self) -> None:
-        """Close if the front end drains and no open request and no unread line is left on this connection."""
+        """Close if the front end drains and no open request and no unread line is left on this connection.
+
+        A line that has begun gets its time: its client may have written all of it before the drain.
+        """
         if not self.listener.draining or self.answers:
             return
-        if self.next_read is None and not self.lines.has_complete_line():
+        if self.next_read is not None or self.lines.has_complete_line():
+            return
+        if not (self.has_partial_line() and self.listener.awaits_partial_lines):
             self.end(CloseReason.DRAINING)
 
+    def has_partial_line(self) -> bool:
+        """Whether part of a further line was received."""
+        return self.state.reading and self.lines.has_partial_line()
+
     def may_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed to free capacity for another one."""
         idle = self.state.may_be_evicted(now) and self.next_read is None
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -62,6 +62,7 @@
         self.open_requests: dict[bytes, tuple[ClientConnectionProtocol, int]] = {}  # by request id
         self.counts: Counter[str] = Counter()
         self.draining = False
+        self.awaits_partial_lines = True  # a drain leaves time to the lines that have begun
         self.all_closed_deferred: defer.Deferred[None] | None = None
         self.eviction_call = None
         self.logged_once: set[tuple[str, str]] = set()  # event and kind
@@ -178,11 +179,23 @@
     # -- the end
 
     def drain(self) -> None:
-        """Reject new requests from now on and close connections without an open one."""
+        """Reject new requests from now on; close connections with neither an open request nor part of one."""
         self.draining = True
+        self._close_drained()
+
+    def _close_drained(self) -> None:
         for connection in list(self.connections):
             connection.close_if_drained()
 
+    def has_partial_line(self) -> bool:
+        """Whether part of a line was received on any connection."""
+        return any(connection.has_partial_line() for connection in self.connections)
+
+    def stop_awaiting_partial_lines(self) -> None:
+        """Close drained connections from now on although part of a line was received on them."""
+        self.awaits_partial_lines = False
+        self._close_drained()
+
     def all_closed(self) -> defer.Deferred[None]:
         """Fire when the last connection has ended, either after its last answer was sent or by an abort."""
         if not self.connections:
--- a/petrelway/node/lifecycle.py
+++ b/petrelway/node/lifecycle.py
@@ -16,6 +16,7 @@
 
 ACCEPT_AFTER_SIGTERM_MS = 700.0  # time for which clients are still accepted
 DEADLINE_MARGIN_MS = 100.0  # the drain waits for answers until this long after the longest deadline
+PARTIAL_LINE_CHECK_MS = 50.0  # interval of the checks whether clients have completed their lines
 FLUSH_TIMEOUT_MS = ABORT_TIMEOUT_MS + 250.0  # time for the transports to send the last answers
 
 
@@ -45,8 +46,10 @@
         self.log.info("front end draining", open=self.dispatcher.unanswered)
         yield self._pause(ACCEPT_AFTER_SIGTERM_MS)
         yield self._stop_listening()
+        drained_ms = self.clock.seconds() * 1e3
         self.client_listener.drain()
         yield self._finish_requests()
+        yield self._finish_partial_lines(drained_ms)
         yield self._flush_connections()
 
     @defer.inlineCallbacks
@@ -70,6 +73,18 @@
             self.log.error("requests open past every deadline", open=self.dispatcher.unanswered)
             self.dispatcher.fail_all()
 
+    @defer.inlineCallbacks
+    def _finish_partial_lines(self, drained_ms: float):
+        """Wait for the rest of lines that began before the drain; each gets its answer when it is complete.
+
+        No client waits for an answer longer than for the longest deadline. The client listener itself ends
+        lines that stall.
+        """
+        until_ms = drained_ms + self.longest_deadline_ms - DEADLINE_MARGIN_MS
+        while self.client_listener.has_partial_line() and self.clock.seconds() * 1e3 < until_ms:
+            yield self._pause(PARTIAL_LINE_CHECK_MS)
+        self.client_listener.stop_awaiting_partial_lines()
+
     @defer.inlineCallbacks
     def _flush_connections(self):
         """Wait until the transports are flushed: an answer unsent when the process ends is lost."""
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -2,20 +2,24 @@
 
 import contextlib
 import itertools
+import signal
+import socket
 import time
 
 import pytest
-from nodes import Node, until
+from nodes import WAIT_S, Node, until
 
 from petrelway.fakes.platform_peers import Executor, Holder, request
 from petrelway.node import client_listener, connection_state
 from petrelway.node.connection_state import ClientConnectionState, CloseReason
+from petrelway.platform.client_answers import ErrorCode
 
 PAST_A_SWEEP_S = 2 * (client_listener.SWEEP_INTERVAL_MS + client_listener.RECHECK_DELAY_MS) / 1e3
 LINE_BOUND_S = connection_state.PARTIAL_LINE_TIMEOUT_MS / 1e3
 RESTED_S = connection_state.SILENCE_TIMEOUT_MS / 1e3 + 0.5  # less than the time after which it counts as idle
 FIRST_PIECE = 50  # bytes
 TTL_MS = 4000
+REJECTED = ErrorCode.REJECTED
 
 
 def call(number):
@@ -23,8 +27,8 @@
 
 
 @contextlib.contextmanager
-def node(path, executor):
-    front_end = Node(path, [executor])
+def node(path, executor, **changes):
+    front_end = Node(path, [executor], **changes)
     try:
         yield front_end
     finally:
@@ -114,6 +118,52 @@
         )
 
 
+# -- a drain
+
+
+def listens(address):
+    host, port = address.split(":")
+    try:
+        socket.create_connection((host, int(port))).close()
+    except OSError:
+        return False
+    return True
+
+
+def test_a_request_whose_rest_comes_behind_the_beginning_of_the_drain_is_answered(tmp_path):
+    """Guards against: a drain closes a connection on which part of a request was read; that is lost."""
+    with node(tmp_path, Executor()) as n:
+        rested, new = n.client(), n.client()
+        rested.say(request(1, call=call(1), ttl=TTL_MS))
+        assert "result" in rested.hear()
+        lines = {rested: request(2, call=call(2), ttl=TTL_MS), new: request(1, call=call(3), ttl=TTL_MS)}
+        for client, line in lines.items():
+            client.say(line[:FIRST_PIECE])
+        n.signal(signal.SIGTERM)
+        until(lambda: not listens(n.address))  # the drain closes connections without a request from then on
+        time.sleep(0.1)
+        for number, (client, line) in zip((2, 1), lines.items(), strict=True):
+            client.say(line[FIRST_PIECE:])
+            answer = client.hear()
+            assert answer["id"] == number and answer.get("error", {"code": REJECTED})["code"] == REJECTED
+            assert client.hear() is None
+        assert n.process.wait(WAIT_S) == 0
+
+
+@pytest.mark.parametrize("deadline_s", [0.6, 4.0])
+def test_a_line_that_stalls_holds_a_drain_for_a_bounded_time(tmp_path, deadline_s):
+    """Guards against: a client that never ends its line keeps the process from ending."""
+    classes = {name: {"deadlineS": deadline_s} for name in ("safe", "keyed", "once")}
+    with node(tmp_path, Executor(), classes=classes) as n:
+        stalled = n.client()
+        stalled.say(request(1, call=call(1), ttl=500)[:FIRST_PIECE])
+        n.signal(signal.SIGTERM)
+        assert n.process.wait(WAIT_S) == 0
+        counts = n.events(ended=False)[-1]["clients"]
+        reason = CloseReason.PARTIAL_LINE if deadline_s > LINE_BOUND_S else CloseReason.DRAINING
+        assert counts[reason] >= 1
+
+
 # -- the state alone, with the clock handed in
 
 
