Read a client's socket once more right before its connection is closed for a timeout

What callers saw: a connection was closed as idle, or for a partial line, with a whole request unread in its socket. Cause: the two checks, 20 ms apart, rely on the reactor reading the sockets between them. A wait that is interrupted (a stop and SIGCONT in those 20 ms, or EINTR again and again) reports nothing, and the second check follows with nothing read. Evidence: on a real process whose epoll_wait returns EINTR from 0.2 s before the request was written: closed, count `idle` 1, no answer. Change: the second check reads each suspect's socket itself before it closes, as the eviction of idle connections does already. Why it works: what has arrived is read in the same turn in which the close is decided, whatever the poll reported.

--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -159,11 +159,14 @@
 
         After a pause of this process a request may be unread in the socket, or the client may have read
         answers and made buffer space, before the process has noticed. Between the two checks the reactor has
-        read the sockets.
+        read the sockets, unless the pause fell between them: a poll that a pause interrupts reports nothing.
+        Each socket is therefore read once more.
         """
         self.sweep_call = self.clock.callLater(SWEEP_INTERVAL_MS / 1e3, self._sweep)
         now = self.now()
         for connection in suspects:
+            if connection.timeout_reason(now) is not None:
+                connection.read_pending_bytes()
             reason = connection.timeout_reason(now)
             if reason is None:
                 continue
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -1,6 +1,7 @@
 """Requests whose line comes in pieces: a line's time counts from its own first byte."""
 
 import contextlib
+import errno
 import itertools
 import signal
 import socket
@@ -13,6 +14,7 @@
 from petrelway.node import client_listener, connection_state
 from petrelway.node.connection_state import ClientConnectionState, CloseReason
 from petrelway.platform.client_answers import ErrorCode
+from petrelway.sockets.reactor import LONGEST_WAIT_S
 
 PAST_A_SWEEP_S = 2 * (client_listener.SWEEP_INTERVAL_MS + client_listener.RECHECK_DELAY_MS) / 1e3
 LINE_BOUND_S = connection_state.PARTIAL_LINE_TIMEOUT_MS / 1e3
@@ -164,6 +166,34 @@
         assert counts[reason] >= 1
 
 
+# -- waits for sockets that are interrupted
+
+
+@pytest.mark.parametrize("pieces", ["a whole request", "the rest of one"])
+def test_what_came_while_waits_reported_nothing_is_read_before_its_connection_closes(
+    tmp_path, failing, pieces
+):
+    """Guards against: both checks for timeouts run with the request unread, as after an interrupted wait."""
+    with node(tmp_path, Executor(), failing=failing) as n:
+        client = n.client()
+        client.say(request(1, call=call(1), ttl=TTL_MS))
+        assert "result" in client.hear()
+        line = request(2, call=call(2), ttl=TTL_MS)
+        bound_s = connection_state.IDLE_TIMEOUT_MS / 1e3
+        if pieces == "the rest of one":
+            bound_s = LINE_BOUND_S
+            client.say(line[:FIRST_PIECE])
+            line = line[FIRST_PIECE:]
+        time.sleep(bound_s - 0.6)
+        failing.fail("epoll_wait", errno.EINTR)
+        time.sleep(2 * LONGEST_WAIT_S)  # the wait under way still reports what comes
+        client.say(line)
+        time.sleep(0.4 + PAST_A_SWEEP_S)
+        failing.well()
+        assert client.hear()["id"] == 2
+        n.events()
+
+
 # -- the state alone, with the clock handed in
 
 
