Take a list of executors over however slowly it comes: bytes on their way are no silence

What callers saw: where a whole list takes longer than 1.7 s to come (a slow or crowded bus, a long list), the front end never took it over: it ended the connection for silence in the middle of the event, asked again, and got the same first part. New executors got nothing; once the old list had lapsed, requests were refused. Cause: the timer of the bus was restarted by complete events alone, so an event on its way was as old as the last complete one. Change: each byte of an event restarts the timer, up to 10 s from that event's first byte (270 KB, the longest list, at 27 KB/s); then and at 1.7 s without a byte the connection ends, counted under `discovery` by its reason. Bytes on their way confirm nothing: the list's word still runs out 4 s after the last heartbeat that said it was complete. Why it works: the age of an event is counted from its own beginning, silence from the last byte.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -18,6 +18,7 @@
 from ..platform.client_answers import ClientLineError, ErrorCode
 from ..platform.client_codec import LineBuffer
 from ..platform.opaque_request import OpaqueRequest
+from ..sockets.pending_input import read_pending
 from .connection_state import OPEN_REQUESTS_BOUND, ClientConnectionState, CloseReason, Phase
 
 if TYPE_CHECKING:
@@ -271,9 +272,8 @@
         return idle and not self.lines.has_partial_line()
 
     def read_pending_bytes(self) -> None:
-        """Read the bytes in the socket's buffer; the reactor itself reports a lost connection again later."""
-        if read := getattr(self.transport, "doRead", None):
-            read()
+        """Read the bytes in the socket's buffer."""
+        read_pending(self.transport)
 
     def timeout_reason(self, now: float) -> CloseReason | None:
         """Return the timeout that has expired on this connection, or None."""
--- a/petrelway/node/discovery.py
+++ b/petrelway/node/discovery.py
@@ -9,7 +9,9 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any, Protocol
 
 from twisted.internet import interfaces, protocol
@@ -22,7 +24,10 @@
 from ..platform.errors import ProtocolError
 
 CONNECT_TIMEOUT_MS = 500.0
-HEARTBEAT_TIMEOUT_MS = 1700.0  # the bus sends a heartbeat each second; without one for this time it is down
+HEARTBEAT_TIMEOUT_MS = (
+    1700.0  # the bus sends a heartbeat each second; without a byte for this time it is down
+)
+EVENT_TIMEOUT_MS = 10_000.0  # for one event, from its first byte to its end; a whole list may be 270 KB
 RECHECK_DELAY_MS = 20.0  # delay before a bus that seems silent is checked again
 STABLE_AFTER_MS = 1000.0  # a connection on which events still arrive after this time is healthy
 # A change that the bus could not send counts as notified this long after the last heartbeat or after the loss
@@ -33,6 +38,13 @@
 MAX_RETRY_MS = 1000.0
 
 
+class TimeoutReason(StrEnum):
+    """Why a connection to the bus timed out; logged and counted under these texts."""
+
+    SILENT = f"no event or heartbeat for {HEARTBEAT_TIMEOUT_MS:g} ms"
+    PARTIAL_EVENT = f"an event not complete after {EVENT_TIMEOUT_MS:g} ms"
+
+
 class ListValidity(Protocol):
     """Receives reports on how far the endpoint list may be relied on; implemented by the dispatcher."""
 
@@ -52,6 +64,7 @@
         self.connected_to_bus = False
         self.abandoned = False
         self.connected_ms = 0.0
+        self.partial_event_since_ms: float | None = None  # first byte of the event that is not complete yet
         self.reader = DiscoveryEventReader(client.zones, client.machines, client)
 
     def connectionMade(self) -> None:
@@ -66,6 +79,21 @@
             self.reader.feed(data)
         except ProtocolError as error:
             self.client.connection_failed(self, str(error))
+            return
+        if self.reader.has_partial_event() and not self.abandoned:
+            self._partial_event_received()
+
+    def _partial_event_received(self) -> None:
+        """Postpone the timeout while an event is on its way, but not past the bound on one event.
+
+        A long list on a slow connection takes longer than the time between two heartbeats, and none can come
+        before its end.
+        """
+        now = self.client.now()
+        if self.partial_event_since_ms is None:
+            self.partial_event_since_ms = now
+        if now - self.partial_event_since_ms <= EVENT_TIMEOUT_MS:
+            self.client.restart_silence_timer()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Report the end of the connection."""
@@ -103,6 +131,7 @@
         self.last_turn_ms = self.now()  # time of the last noted reactor turn
         self.previous_turn_ms = self.last_turn_ms  # time of the one before it
         self.log = log
+        self.counts: Counter[str] = Counter()  # connections that timed out, by TimeoutReason
         self.backoff = Backoff(random_source, MIN_RETRY_MS, MAX_RETRY_MS)
         self.number = 0  # number of the last complete event
         self.gap_after = -1  # the number after which a gap was seen
@@ -188,7 +217,8 @@
     def _activity_seen(self) -> None:
         if self.connection is None:
             return  # the initial events
-        self._restart_silence_timer()
+        self.connection.partial_event_since_ms = None
+        self.restart_silence_timer()
         if self.clock.seconds() * 1e3 - self.connection.connected_ms < STABLE_AFTER_MS:
             return  # a bus that sends one event and disconnects would be dialled, and logged, endlessly
         self.stable = True
@@ -231,9 +261,10 @@
         self.connect_attempt = None
         connection.transport.write(encode_resume(self.number))
         self.validity.endpoint_list_unconfirmed(self.now())
-        self._restart_silence_timer()
+        self.restart_silence_timer()
 
-    def _restart_silence_timer(self) -> None:
+    def restart_silence_timer(self) -> None:
+        """Wait for the next byte from now on."""
         if self.timeout_call is not None and self.timeout_call.active():
             self.timeout_call.reset(HEARTBEAT_TIMEOUT_MS / 1e3)
         else:
@@ -249,7 +280,15 @@
             self.timeout_call = self.clock.callLater(RECHECK_DELAY_MS / 1e3, self._heartbeat_timeout, True)
         elif self.connection is not None:
             self.timeout_call = None
-            self.connection_failed(self.connection, f"no event or heartbeat for {HEARTBEAT_TIMEOUT_MS:g} ms")
+            reason = self._timeout_reason(self.connection)
+            self.counts[reason] += 1
+            self.connection_failed(self.connection, reason)
+
+    def _timeout_reason(self, connection: DiscoveryProtocol) -> TimeoutReason:
+        since_ms = connection.partial_event_since_ms
+        if since_ms is not None and self.now() - since_ms > EVENT_TIMEOUT_MS:
+            return TimeoutReason.PARTIAL_EVENT
+        return TimeoutReason.SILENT
 
     def connection_failed(self, connection: DiscoveryProtocol, reason: str) -> None:
         """Dial again: at once if the connection was stable, else after a backoff."""
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -344,6 +344,7 @@
             "clients": dict(sorted(self.client_listener.counts.items())),
             "listener": dict(sorted(getattr(self.port, "counts", {}).items())),
             "executors": dict(sorted(self.connection_budget.counts.items())),
+            "discovery": dict(sorted(self.discovery.counts.items())),
             "leases": dict(sorted(self.dispatcher.front_end.gate.leases.counts.items())),
             "shed": dict(sorted(self.admission.shedder.rejected.items())),
             "libraries": dict(sorted(self.library_errors.items())),
--- a/petrelway/platform/discovery_codec.py
+++ b/petrelway/platform/discovery_codec.py
@@ -69,6 +69,10 @@
         self.handler = handler
         self.buffered = bytearray()
 
+    def has_partial_event(self) -> bool:
+        """Whether part of an event is buffered."""
+        return bool(self.buffered)
+
     def feed(self, data: bytes) -> None:
         """Append received bytes and decode the complete events. Raises ProtocolError at an invalid event."""
         buffered = self.buffered
