Give an executor's answer a bound of its own, and put no further request behind it

What callers saw: once an executor sent an answer byte by byte, every further request that this front end gave it was held until its time was nearly over and refused, for as long as the bytes came; the executor's other connections were not used. Cause: the 300 ms of a partial answer were counted anew from each byte, so a trickle never ended; and a connection whose attempt had been given up counted as idle, and as the best one, because it had received a byte last. Change: an answer has 2 s from its first byte, whatever comes; 300 ms without a byte as before. A connection with part of an answer counts as in use: another one or a new one comes first. The close keeps its reason and count (`partial answers`). Why it works: the age of an answer is counted from its own beginning, and nothing waits behind one that is given up.

--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -22,7 +22,10 @@
 if TYPE_CHECKING:
     from .connection_set import ConnectionSet
 
-PARTIAL_ANSWER_TIMEOUT_MS = 300.0  # a connection is dropped if an answer stays incomplete for so long
+PARTIAL_ANSWER_TIMEOUT_MS = (
+    300.0  # a connection is dropped if no byte of an incomplete answer comes for so long
+)
+ANSWER_TIMEOUT_MS = 2000.0  # for one answer, from its first byte to its end
 RECHECK_DELAY_MS = 20.0  # delay before an answer that seems stuck is checked again
 ABANDONED_IDS_BOUND = 64  # a connection with so many abandoned ids takes nothing new
 
@@ -53,6 +56,7 @@
         self.clogged_at_last_sweep = False  # the last sweep found the buffer full for too long
         self.connect_attempt = None
         self.partial_answer_call = None
+        self.partial_answer_since_ms: float | None = None  # first byte of the answer that is not complete yet
         self.up_ms = now
         self.received_ms = now  # time of the last byte received
         self.used_ms = now
@@ -116,10 +120,19 @@
         self.paused = True
 
     def _restart_partial_answer_timer(self) -> None:
+        """Wait for the next byte of an incomplete answer; past its bound, no byte postpones its end."""
+        if not self.reader.has_partial_frame():
+            self.partial_answer_since_ms = None
+            self.cancel_partial_answer_timer()
+            return
+        if self.partial_answer_since_ms is None:
+            self.partial_answer_since_ms = self.received_ms
+        remaining_ms = self.partial_answer_since_ms + ANSWER_TIMEOUT_MS - self.received_ms
+        if remaining_ms <= 0.0 and self.partial_answer_call is not None:
+            return
         self.cancel_partial_answer_timer()
-        if self.reader.has_partial_frame():
-            delay_s = PARTIAL_ANSWER_TIMEOUT_MS / 1e3
-            self.partial_answer_call = self.pool.clock.callLater(delay_s, self._partial_answer_timeout, False)
+        delay_s = max(0.0, min(PARTIAL_ANSWER_TIMEOUT_MS, remaining_ms)) / 1e3
+        self.partial_answer_call = self.pool.clock.callLater(delay_s, self._partial_answer_timeout, False)
 
     def cancel_partial_answer_timer(self) -> None:
         """Cancel the timer of an incomplete answer."""
@@ -137,6 +150,12 @@
             delay_s = RECHECK_DELAY_MS / 1e3
             self.partial_answer_call = self.pool.clock.callLater(delay_s, self._partial_answer_timeout, True)
             return
+        since_ms = self.partial_answer_since_ms
+        if self.dropped or self.partial_answer_since_ms != since_ms:
+            return  # it is complete, or its connection has ended
+        came_in_time = self.pool.now() - since_ms < ANSWER_TIMEOUT_MS
+        if self.partial_answer_call is not None and came_in_time:
+            return
         self.pool.budget.counts["partial answers"] += 1
         self.pool.drop(self, EndReason.HALF_ANSWER)
 
@@ -151,6 +170,7 @@
         dropped.
         """
         pool = self.pool
+        self.partial_answer_since_ms = None
         key = self.open_attempts.get(id)
         if key is not None and self.ledger.ended(key):
             del self.open_attempts[id]
@@ -166,6 +186,7 @@
 
     def probe_answer_received(self, id: bytes, healthy: bool) -> None:
         """Report the end of a probe."""
+        self.partial_answer_since_ms = None
         pending = self.questions.pop(id, None)
         if pending is not None:
             outcome = Outcome.SUCCEEDED if healthy else Outcome.ERROR
@@ -177,9 +198,13 @@
         """Return the rank among connections without an open attempt; the lowest is best for the next."""
         return not self.up, len(self.questions), -self.received_ms
 
-    def shared_rank(self) -> tuple[bool, int]:
-        """Return the rank among connections with open attempts; the lowest is best for the next."""
-        return not self.up, len(self.open_attempts)
+    def shared_rank(self) -> tuple[bool, bool, int]:
+        """Return the rank among connections that are in use; the lowest is best for the next."""
+        return not self.up, self.reader.has_partial_frame(), len(self.open_attempts)
+
+    def in_use(self) -> bool:
+        """Whether a further attempt has to share: with an open one, or with an answer that is under way."""
+        return bool(self.open_attempts) or self.reader.has_partial_frame()
 
     def is_id_taken(self, id: bytes) -> bool:
         """Whether this id is in use, or was abandoned, on this connection."""
--- a/petrelway/node/executor_pool.py
+++ b/petrelway/node/executor_pool.py
@@ -66,17 +66,15 @@
     def _choose_connection(self, request_id: bytes) -> ExecutorConnectionProtocol | None:
         """Choose a connection for an attempt, or None.
 
-        The order of preference is: the connection without an attempt that received a byte last, a new one,
-        the least loaded one.
+        The order of preference is: the connection not in use that received a byte last, a new one, the least
+        loaded one.
         """
         idle = None
         shared = None
         for connection in self.connections:
             if not self._can_take_attempt(connection, request_id):
                 continue
-            if (
-                not connection.open_attempts
-            ):  # also one that is being dialled: another dial would not complete sooner
+            if not connection.in_use():  # also one being dialled: another dial would not complete sooner
                 if idle is None or connection.idle_rank() < idle.idle_rank():
                     idle = connection
             elif shared is None or connection.shared_rank() < shared.shared_rank():
