Read executors' and the bus's sockets once more before a timeout ends their connection

What callers saw: the rest of an answer lay in the socket when its connection was dropped for a partial answer: a request that may not be repeated failed (-32010) though its answer had arrived. Cause: as with clients' connections: the second check relies on the reactor having read the socket since the first one, and a wait that was interrupted reports nothing. Evidence: on a real process whose epoll_wait returns EINTR while the rest of an answer arrives: `broken off`. Change: the second check reads what the socket holds (sockets/pending_input.py, also used by clients' connections) and goes on if that completes the answer, or the event. Why it works: what has arrived is read in the turn in which the end is decided. Measured: two new tests red on the text before, green now (an answer on a real process, an event in memory).

--- a/petrelway/node/discovery.py
+++ b/petrelway/node/discovery.py
@@ -22,6 +22,7 @@
 from ..platform.configuration import Endpoint
 from ..platform.discovery_codec import DiscoveryEventReader, encode_resume
 from ..platform.errors import ProtocolError
+from ..sockets.pending_input import READS_BOUND, read_pending
 
 CONNECT_TIMEOUT_MS = 500.0
 HEARTBEAT_TIMEOUT_MS = (
@@ -274,15 +275,23 @@
     def _heartbeat_timeout(self, rechecked: bool) -> None:
         """Fail the connection at the second check.
 
-        After a pause of this process, events may still be unread in the socket at the first check.
+        After a pause of this process, events may still be unread in the socket at the first check, and at the
+        second too if the wait between them was interrupted; so they are read now.
         """
         if not rechecked:
             self.timeout_call = self.clock.callLater(RECHECK_DELAY_MS / 1e3, self._heartbeat_timeout, True)
         elif self.connection is not None:
             self.timeout_call = None
-            reason = self._timeout_reason(self.connection)
-            self.counts[reason] += 1
-            self.connection_failed(self.connection, reason)
+            self._fail_if_silent(self.connection)
+
+    def _fail_if_silent(self, connection: DiscoveryProtocol) -> None:
+        if connection.connected_to_bus:
+            read_pending(connection.transport, READS_BOUND)
+        if connection is not self.connection or self.timeout_call is not None:
+            return  # it has ended, or bytes came
+        reason = self._timeout_reason(connection)
+        self.counts[reason] += 1
+        self.connection_failed(connection, reason)
 
     def _timeout_reason(self, connection: DiscoveryProtocol) -> TimeoutReason:
         since_ms = connection.partial_event_since_ms
--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -18,6 +18,7 @@
 from ..platform.errors import ProtocolError
 from ..platform.opaque_request import OpaqueRequest
 from ..routing.types import Outcome, Warmth
+from ..sockets.pending_input import READS_BOUND, read_pending
 
 if TYPE_CHECKING:
     from .connection_set import ConnectionSet
@@ -143,7 +144,8 @@
     def _partial_answer_timeout(self, rechecked: bool) -> None:
         """Drop the connection at the second check.
 
-        After a pause of this process the rest of the answer may still be unread in the socket at the first.
+        After a pause of this process the rest of the answer may still be unread in the socket at the first,
+        and at the second too if the wait between them was interrupted; so it is read now.
         """
         self.partial_answer_call = None
         if not rechecked:
@@ -151,6 +153,7 @@
             self.partial_answer_call = self.pool.clock.callLater(delay_s, self._partial_answer_timeout, True)
             return
         since_ms = self.partial_answer_since_ms
+        read_pending(self.transport, READS_BOUND)
         if self.dropped or self.partial_answer_since_ms != since_ms:
             return  # it is complete, or its connection has ended
         came_in_time = self.pool.now() - since_ms < ANSWER_TIMEOUT_MS
--- a/tests/test_partial_answers.py
+++ b/tests/test_partial_answers.py
@@ -1,6 +1,7 @@
 """Answers of executors that come in pieces: an answer has its own beginning, and a bound."""
 
 import contextlib
+import errno
 import threading
 import time
 
@@ -8,10 +9,11 @@
 from nodes import Node, until
 from test_executor_pool import Rig, call
 
-from petrelway.fakes.platform_peers import Executor, answer, request
+from petrelway.fakes.platform_peers import Executor, Holder, answer, request
 from petrelway.node.connection_set import SWEEP_INTERVAL_MS
 from petrelway.node.executor_connection import ANSWER_TIMEOUT_MS, PARTIAL_ANSWER_TIMEOUT_MS
 from petrelway.routing.types import Outcome
+from petrelway.sockets.reactor import LONGEST_WAIT_S
 
 
 class Trickler(Executor):
@@ -69,6 +71,25 @@
         assert n.events()[-1]["executors"]["partial answers"] == 1
 
 
+def test_the_rest_of_an_answer_is_read_before_its_connection_is_dropped(tmp_path, failing):
+    """Guards against: both checks run with the rest unread, as after an interrupted wait."""
+    holder = Holder()
+    with node(tmp_path, holder, failing=failing) as n:
+        client = n.client()
+        client.say(request(1, "once", call=call(1).hex(), ttl=4000))
+        until(lambda: holder.held)
+        wire, body = holder.held.pop(call(1))
+        whole = answer(100, call(1), b"how=resident", body)
+        wire.sendall(whole[:30])
+        failing.fail("epoll_wait", errno.EINTR)
+        time.sleep(2 * LONGEST_WAIT_S)  # the wait under way still reports what comes
+        wire.sendall(whole[30:])
+        time.sleep(2 * PARTIAL_ANSWER_TIMEOUT_MS / 1e3)
+        failing.well()
+        assert "result" in client.hear()
+        n.events()
+
+
 # -- in memory
 
 
--- a/tests/test_partial_events.py
+++ b/tests/test_partial_events.py
@@ -9,7 +9,12 @@
 from test_discovery_client import Rig
 
 from petrelway.fakes.platform_peers import Bus, Executor, event, record, request
-from petrelway.node.discovery import EVENT_TIMEOUT_MS, HEARTBEAT_TIMEOUT_MS, TimeoutReason
+from petrelway.node.discovery import (
+    EVENT_TIMEOUT_MS,
+    HEARTBEAT_TIMEOUT_MS,
+    RECHECK_DELAY_MS,
+    TimeoutReason,
+)
 
 PIECES = 5
 PAUSE_S = 0.6  # between two pieces; together longer than the time after which a silent bus is down
@@ -120,3 +125,15 @@
     confirmed = list(rig.confirmed)
     feed(rig, connection, event(4, 2, record(2, 7002))[:-1], 100)
     assert rig.confirmed == confirmed and not connection.abandoned
+
+
+def test_events_are_read_before_a_bus_counts_as_silent():
+    """Guards against: both checks run with the events unread, as after an interrupted wait."""
+    rig = Rig()
+    connection, pipe = rig.net.accept()
+    pipe.doRead = lambda: connection.dataReceived(event(4, 2, record(2, 7002)))
+    rig.step(HEARTBEAT_TIMEOUT_MS + 2 * RECHECK_DELAY_MS)
+    assert not connection.abandoned and rig.client.number == 4 and rig.log.lines == []
+    pipe.doRead = lambda: None
+    rig.step(HEARTBEAT_TIMEOUT_MS + 2 * RECHECK_DELAY_MS)
+    assert connection.abandoned and rig.client.counts == {TimeoutReason.SILENT: 1}
