Failing calls: read the planned errno once, so that no call fails without one

Cause: the shim of the tests read the errno of the plan twice, to decide and to set it; a plan that ended in between made a call fail with errno 0, which no system does. Change: it is read once.

--- a/petrelway/fakes/failing_calls.c
+++ b/petrelway/fakes/failing_calls.c
@@ -71,10 +71,11 @@
     if (plan == NULL) return 0;
     struct fault *f = &plan->faults[which];
     atomic_fetch_add(&f->calls, 1);
-    if (f->error == 0 || f->left <= 0 || draw() >= f->per_mille) return 0;
+    const int error = __atomic_load_n(&f->error, __ATOMIC_RELAXED);  /* the plan may end in between */
+    if (error == 0 || f->left <= 0 || draw() >= f->per_mille) return 0;
     f->left--;
     atomic_fetch_add(&f->failed, 1);
-    errno = f->error;
+    errno = error;
     return 1;
 }
 
