Bound the time of an HTTP request from its first byte to its last

What callers saw: a client that sends its request a byte now and then (head or body) holds one of the 4,000 connections of `petrelway serve` for ever; with enough of them others are turned away. Cause: the 60 s of an idle connection are counted from its last byte, and nothing else bounded a request that never ends. Evidence: in memory with the clock handed in, a byte each 30 s: open after 1,800 s, head or body (no longer was tried); now closed at 20 s. Change: each connection has a timer from a request's first byte to its last (gateway/http_request_timeout.py), 20 s as on the console; then 408, closed, counted as `refused 408`. A rest and the time of an answer don't count. The response ahead of a request's end stands in one place, for 408 and 413. Why it works: the request's age is its own; a rest of 55 s before it, or an answer of 25 s before it, changes nothing (tested).

--- a/petrelway/gateway/http_listener.py
+++ b/petrelway/gateway/http_listener.py
@@ -11,12 +11,13 @@
 from collections import Counter
 from collections.abc import Callable
 
-from twisted.internet import defer
+from twisted.internet import defer, interfaces
 from twisted.web import resource, server
 
 from ..events.single import Event, EventError, read
 from .answers import Answer, Completion
 from .cloudevent_requests import CloudEventReader, ReceivedRequest
+from .http_request_timeout import REQUEST_TIMEOUT_S, RequestTimeout
 from .http_responses import problem_document, refuse, reject_before_acceptance, write_answer
 
 BODY_BOUND = 1 << 18  # maximum size of a request body in bytes
@@ -54,18 +55,32 @@
         self.over_bound = True
         self.channel.site.count_refused(413)
         problem = problem_document(413, "body", "more", f"{BODY_BOUND} bytes at most")
-        self.channel.transport.write(
-            b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/problem+json\r\n"
-            b"Connection: close\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (len(problem), problem)
-        )
-        self.channel.loseConnection()
+        _end_with_problem(self.channel.transport, b"413 Content Too Large", problem)
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Process a request whose body was not refused."""
+        self._timeout().request_received()
         if not self.over_bound:
             super().requestReceived(command, path, version)
 
+    def finish(self) -> None:
+        """End the response; what the client has sent meanwhile is read by this call."""
+        self._timeout().request_answered()
+        super().finish()
+
+    def _timeout(self) -> RequestTimeout:
+        return self.channel.site.request_timeouts[self.channel.transport]
+
+
+def _end_with_problem(transport: interfaces.ITransport, status: bytes, problem: bytes) -> None:
+    """Write a response ahead of a request that was not received to its end, and close the connection."""
+    transport.write(
+        b"HTTP/1.1 %s\r\nContent-Type: application/problem+json\r\nConnection: close\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (status, len(problem), problem)
+    )
+    transport.unregisterProducer()
+    transport.loseConnection()
+
 
 class HttpListener(server.Site):
     """The HTTP site of one front end: reads requests, passes them to `accept`, writes answers.
@@ -97,6 +112,7 @@
         self.admission_retry_ms: Callable[[ReceivedRequest], float] = lambda received: 0.0
         self.draining = False
         self.connections = 0
+        self.request_timeouts: dict[interfaces.ITransport, RequestTimeout] = {}
         self.counts: Counter[str] = Counter()
         root = resource.Resource()
         root.putChild(b"triggers", RequestResource(self))
@@ -114,14 +130,38 @@
             return None
         channel = super().buildProtocol(address)
         self.connections += 1
-        lost = channel.connectionLost
+        self._watch(channel)
+        return channel
 
-        def counted(reason=None):
-            self.connections -= 1
-            return lost(reason)
+    def _watch(self, channel) -> None:
+        """Have a connection counted until its end, and the time of its requests bounded."""
+        connected, received, lost = channel.makeConnection, channel.dataReceived, channel.connectionLost
 
-        channel.connectionLost = counted
-        return channel
+        def make_connection(transport):
+            timeout = RequestTimeout(self.reactor, lambda: self._request_timed_out(transport))
+
+            def data_received(data):
+                timeout.bytes_received()
+                return received(data)
+
+            def connection_lost(reason=None):
+                self.connections -= 1
+                timeout.cancel()
+                del self.request_timeouts[transport]
+                return lost(reason)
+
+            self.request_timeouts[transport] = timeout
+            channel.dataReceived = data_received
+            channel.connectionLost = connection_lost
+            return connected(transport)
+
+        channel.makeConnection = make_connection
+
+    def _request_timed_out(self, transport: interfaces.ITransport) -> None:
+        self.count_refused(408)
+        allowed = f"a whole request within {REQUEST_TIMEOUT_S:g} s of its first byte"
+        problem = problem_document(408, "request", "part", allowed)
+        _end_with_problem(transport, b"408 Request Timeout", problem)
 
     def count_refused(self, status: int) -> None:
         """Count a request that was not accepted."""
