Tests of messages in pieces: the shared front end of the rigs in place of three copies

Cause: three new test files each had their own start and end of a real front end; nodes.node does the same. Change: they use it; no check changed.

--- a/tests/partial_soak.py
+++ b/tests/partial_soak.py
@@ -242,11 +242,9 @@
             thread.join(WAIT_S)
         events = node.events(ended=False)
     finally:
-        if node.process.poll() is None:
-            node.process.kill()
-            node.process.communicate()
-        for standin in (node.bus, *buses, *executors):
-            standin.close()
+        node.close()
+        for bus in buses:
+            bus.close()
         calls.close()
     broken = ledger.broken
     if any(thread.is_alive() for thread in (*callers, *stalling)):
--- a/tests/test_partial_answers.py
+++ b/tests/test_partial_answers.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from nodes import Node, until
+from nodes import node, until
 from test_executor_pool import Rig, call
 
 from petrelway.fakes.platform_peers import Executor, Holder, answer, request
@@ -43,23 +43,10 @@
         self.cut_after_s = time.monotonic() - began
 
 
-@contextlib.contextmanager
-def node(path, executor, **more):
-    front_end = Node(path, [executor], **more)
-    try:
-        yield front_end
-    finally:
-        if front_end.process.poll() is None:
-            front_end.process.kill()
-            front_end.process.communicate()
-        executor.close()
-        front_end.bus.close()
-
-
 def test_an_answer_that_trickles_takes_no_further_request_with_it_and_ends_at_its_bound(tmp_path):
     """Guards against: requests go on to a connection whose answer never ends, and each is refused."""
     trickler = Trickler()
-    with node(tmp_path, trickler) as n:
+    with node(tmp_path, [trickler]) as n:
         client = n.client()
         client.say(request(1, call=call(1).hex(), ttl=800))
         assert "error" in client.hear()
@@ -74,7 +61,7 @@
 def test_the_rest_of_an_answer_is_read_before_its_connection_is_dropped(tmp_path, failing):
     """Guards against: both checks run with the rest unread, as after an interrupted wait."""
     holder = Holder()
-    with node(tmp_path, holder, failing=failing) as n:
+    with node(tmp_path, [holder], failing=failing) as n:
         client = n.client()
         client.say(request(1, "once", call=call(1).hex(), ttl=4000))
         until(lambda: holder.held)
--- a/tests/test_partial_events.py
+++ b/tests/test_partial_events.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from nodes import Node, until
+from nodes import node, until
 from test_discovery_client import Rig
 
 from petrelway.fakes.platform_peers import Bus, Executor, event, record, request
@@ -43,8 +43,7 @@
     assert (PIECES - 1) * PAUSE_S > HEARTBEAT_TIMEOUT_MS / 1e3 > 2 * PAUSE_S
     executors = [Executor(), Executor()]
     slow = SlowBus(2, event(2, 1, record(2, executors[1].port)))
-    n = Node(tmp_path, executors)
-    try:
+    with contextlib.closing(slow), node(tmp_path, executors) as n:
         n.write(slow)
         n.signal(signal.SIGHUP)
         until(lambda: slow.resumed)
@@ -60,13 +59,6 @@
         until(second_is_used)
         assert slow.resumed == [1]
         assert "event bus down" not in [event["event"] for event in n.events()]
-    finally:
-        if n.process.poll() is None:
-            n.process.kill()
-            n.process.communicate()
-        for standin in (slow, n.bus, *executors):
-            with contextlib.suppress(OSError):
-                standin.close()
 
 
 # -- in memory
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from nodes import WAIT_S, Node, until
+from nodes import WAIT_S, node, until
 
 from petrelway.fakes.platform_peers import Executor, Holder, request
 from petrelway.node import client_listener, connection_state
@@ -28,19 +28,6 @@
     return f"{number:016x}"
 
 
-@contextlib.contextmanager
-def node(path, executor, **changes):
-    front_end = Node(path, [executor], **changes)
-    try:
-        yield front_end
-    finally:
-        if front_end.process.poll() is None:
-            front_end.process.kill()
-            front_end.process.communicate()
-        executor.close()
-        front_end.bus.close()
-
-
 def say_in_two_pieces(client, line, pause_s=PAST_A_SWEEP_S):
     """The connections are checked for timeouts between the two pieces, whenever the process does that."""
     client.say(line[:FIRST_PIECE])
@@ -51,7 +38,7 @@
 @pytest.mark.parametrize("rest_s", [0.2, RESTED_S])
 def test_a_request_in_two_pieces_after_a_rest_is_served(tmp_path, rest_s):
     """Guards against: a line that has just begun counts as old as its connection's rest, and is lost."""
-    with node(tmp_path, Executor()) as n:
+    with node(tmp_path, [Executor()]) as n:
         client = n.client()
         client.say(request(1, call=call(1), ttl=TTL_MS))
         assert client.hear()["id"] == 1
@@ -64,7 +51,7 @@
 
 def test_a_first_request_in_two_pieces_on_a_connection_that_began_late_is_served(tmp_path):
     """Guards against: a line that has just begun counts as old as its new connection, and is lost."""
-    with node(tmp_path, Executor()) as n:
+    with node(tmp_path, [Executor()]) as n:
         client = n.client()
         time.sleep(connection_state.SILENCE_TIMEOUT_MS / 1e3 - 0.3)
         say_in_two_pieces(client, request(1, call=call(1), ttl=TTL_MS), 0.3 + PAST_A_SWEEP_S)
@@ -74,7 +61,7 @@
 
 def test_a_line_fed_byte_by_byte_ends_at_its_bound_with_its_reason(tmp_path):
     """Guards against: a client that sends a byte now and then holds its connection for ever."""
-    with node(tmp_path, Executor()) as n:
+    with node(tmp_path, [Executor()]) as n:
         client = n.client()
         client.say(request(1, call=call(1), ttl=TTL_MS))
         client.hear()
@@ -104,7 +91,7 @@
 def test_a_stalled_line_ends_its_connection_once_the_open_request_is_answered(tmp_path):
     """Guards against: an answer gives a stalled line its whole time again, or a line ends an open request."""
     holder = Holder()
-    with node(tmp_path, holder) as n:
+    with node(tmp_path, [holder]) as n:
         client = n.client()
         client.say(request(1, call=call(1), ttl=TTL_MS) + request(2, call=call(2))[:FIRST_PIECE])
         until(lambda: holder.held)
@@ -134,7 +121,7 @@
 
 def test_a_request_whose_rest_comes_behind_the_beginning_of_the_drain_is_answered(tmp_path):
     """Guards against: a drain closes a connection on which part of a request was read; that is lost."""
-    with node(tmp_path, Executor()) as n:
+    with node(tmp_path, [Executor()]) as n:
         rested, new = n.client(), n.client()
         rested.say(request(1, call=call(1), ttl=TTL_MS))
         assert "result" in rested.hear()
@@ -156,7 +143,7 @@
 def test_a_line_that_stalls_holds_a_drain_for_a_bounded_time(tmp_path, deadline_s):
     """Guards against: a client that never ends its line keeps the process from ending."""
     classes = {name: {"deadlineS": deadline_s} for name in ("safe", "keyed", "once")}
-    with node(tmp_path, Executor(), classes=classes) as n:
+    with node(tmp_path, [Executor()], classes=classes) as n:
         stalled = n.client()
         stalled.say(request(1, call=call(1), ttl=500)[:FIRST_PIECE])
         n.signal(signal.SIGTERM)
@@ -174,7 +161,7 @@
     tmp_path, failing, pieces
 ):
     """Guards against: both checks for timeouts run with the request unread, as after an interrupted wait."""
-    with node(tmp_path, Executor(), failing=failing) as n:
+    with node(tmp_path, [Executor()], failing=failing) as n:
         client = n.client()
         client.say(request(1, call=call(1), ttl=TTL_MS))
         assert "result" in client.hear()
