--- a/petrelway/fakes/fault_proxy.py
+++ b/petrelway/fakes/fault_proxy.py
@@ -3,7 +3,7 @@
 Front end A meets B at an address of their own, which `proxy_address` gives; what A sends there comes out at B
 from the address at which B meets A. A datagram passes as the schedule (fault_schedule.py) says; bytes of a
 connection come late, or wait while the way is cut. A port that refuses at B refuses at the relay too, unless
-the way there or back is cut: then nothing is said. Danger: without that nobody could tell a process that is
+the way there or back is cut: then nothing is said. Without that nobody could tell a process that is
 gone from one that is cut off. Where a day asks for it the ways to the list service and to executors pass the
 relay too: the list that a front end hears then names the relay's addresses."""
 
@@ -80,7 +80,7 @@
         self.pass_on()
 
     def pass_on(self) -> None:
-        """Danger: bytes that were lost in a connection come later, never out of order."""
+        """Pass on the bytes that are due; those lost in a connection come later, never out of order."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         if self.over and (self.far is None or self.far.over):
--- a/petrelway/load/sender.py
+++ b/petrelway/load/sender.py
@@ -30,9 +30,9 @@
 class Sender:
     """One process's part of a load, in open loop.
 
-    Danger: a generator that waits for answers sends less while the target stands still, and its figures look
-    good. What is due is sent here, or counted as not sent past `open_bound`; and each latency counts from
-    when the request was due, also where this process itself was late.
+    A generator that waits for answers would send less while the target stands still, and its figures would
+    look good. What is due is sent here, or counted as not sent past `open_bound`; and each latency counts
+    from when the request was due, also where this process itself was late.
     """
 
     def __init__(
--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -23,9 +23,7 @@
 if TYPE_CHECKING:
     from .connection_set import ConnectionSet
 
-PARTIAL_ANSWER_TIMEOUT_MS = (
-    300.0  # a connection is dropped if no byte of an incomplete answer comes for so long
-)
+PARTIAL_ANSWER_TIMEOUT_MS = 300.0  # a connection is dropped after this without a byte of an incomplete answer
 ANSWER_TIMEOUT_MS = 2000.0  # for one answer, from its first byte to its end
 RECHECK_DELAY_MS = 20.0  # delay before an answer that seems stuck is checked again
 ABANDONED_IDS_BOUND = 64  # a connection with so many abandoned ids takes nothing new
