Evict lines that stall where clients wait, and look again while no place is left

Cause: eviction was decided only when a connection was opened, and passed over every connection with part of a line. Evidence: a trial on a real process; count `no capacity for more connections` 0 while clients waited. Change: while no place is left, the check each 250 ms evicts too; a line that began over 1 s ago may be evicted, last and the oldest first. Where there is capacity each line has its 2 s as before. Why it works: a place is held for 1.3 s at most by a line that stalls, so a crowd moves on; a late segment has its second. Two new tests (a crowd on a real process; in memory) are red on the text before and green now.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -268,8 +268,7 @@
 
     def may_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed to free capacity for another one."""
-        idle = self.state.may_be_evicted(now) and self.next_read is None
-        return idle and not self.lines.has_partial_line()
+        return self.next_read is None and self.state.may_be_evicted(now)
 
     def read_pending_bytes(self) -> None:
         """Read the bytes in the socket's buffer."""
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -113,7 +113,7 @@
             self.eviction_call = self.clock.callLater(0, self._evict)
 
     def _evict(self) -> None:
-        """Abort connections that are closing, then close those without a line, then the longest idle ones."""
+        """Abort connections that are closing, then close others in the order of their rank."""
         self.eviction_call = None
         now = self.now()
         wanted = self.evictions_wanted
@@ -123,7 +123,7 @@
             if now - connection.state.last_activity_ms > RECHECK_DELAY_MS:
                 connection.transport.abortConnection()
         idle = [c for c in self.connections if c.may_be_evicted(now)]
-        idle.sort(key=lambda c: (c.state.received_line, c.state.last_activity_ms))
+        idle.sort(key=lambda c: c.state.eviction_rank())
         for connection in idle[: max(0, wanted - len(closing))]:
             connection.read_pending_bytes()  # its first request may be in the socket's buffer, unread
             if connection.may_be_evicted(now):
@@ -147,6 +147,8 @@
 
     def _sweep(self) -> None:
         now = self.now()
+        if not self.has_capacity():  # clients wait; what could not be evicted at once may have stalled since
+            self._schedule_evictions(len(self.connections) - self.eviction_threshold)
         suspects = [c for c in self.connections if c.timeout_reason(now)]
         if suspects:
             delay_s = RECHECK_DELAY_MS / 1e3
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -19,6 +19,7 @@
 IDLE_TIMEOUT_MS = 5000.0  # for a connection without an open request; the clients' own timeout is shorter
 UNREAD_TIMEOUT_MS = 2000.0  # for a connection whose client does not read its answers
 EVICTION_MIN_AGE_MS = 100.0  # a connection active within this time is not closed to free capacity
+PARTIAL_LINE_EVICTION_AGE_MS = 1000.0  # nor one whose line began within this time: TCP sends lost bytes again
 REMEMBERED_NUMBERS_BOUND = 1024  # request numbers of one connection that are remembered individually
 
 
@@ -197,4 +198,15 @@
         """Whether the connection may be closed to free capacity for another one."""
         if not self.reading or self.open_requests:
             return False
+        if self.partial_line_since_ms is not None:
+            return now - self.partial_line_since_ms > PARTIAL_LINE_EVICTION_AGE_MS
         return now - self.last_activity_ms > EVICTION_MIN_AGE_MS
+
+    def eviction_rank(self) -> tuple[bool, bool, float]:
+        """Return the rank among connections that may be evicted; the lowest is closed first.
+
+        Those without a line come first, then the longest idle, and last those on which part of a line came.
+        """
+        if self.partial_line_since_ms is not None:
+            return True, self.received_line, self.partial_line_since_ms
+        return False, self.received_line, self.last_activity_ms
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -346,6 +346,39 @@
     assert len(rig.submitted) == 1
 
 
+def test_stalled_lines_are_evicted_where_clients_wait_the_oldest_first():
+    """Guards against: lines that stall hold all capacity for their whole time while clients wait."""
+    rig = Rig(bound=8)
+    stalled = []
+    for number in range(8):
+        client, pipe = rig.client()
+        client.dataReceived(request(1, call=call(number))[:40])
+        stalled.append((client, pipe))
+        rig.step(100)
+    assert not rig.listener.has_capacity()
+    rig.step(connection_state.PARTIAL_LINE_EVICTION_AGE_MS - 800 - client_listener.SWEEP_INTERVAL_MS)
+    assert not any(pipe.closed for _, pipe in stalled)  # none is old enough
+    rig.step(2 * client_listener.SWEEP_INTERVAL_MS)  # nobody connects: the sweep looks again
+    assert stalled[0][1].closed and not stalled[-1][1].closed
+    assert rig.listener.counts[CloseReason.NO_CAPACITY] >= 1
+    assert rig.listener.counts[CloseReason.PARTIAL_LINE] == 0
+    stalled[-1][0].dataReceived(request(1, call=call(7))[40:])
+    assert len(rig.submitted) == 1
+
+
+def test_an_idle_connection_is_evicted_before_a_stalled_line():
+    rig = Rig(bound=8)
+    stalled, stalled_pipe = rig.client()
+    stalled.dataReceived(request(1, call=call(1))[:40])
+    idle, idle_pipe = rig.client()
+    idle.dataReceived(request(1, call=call(2)))
+    rig.submitted[0][1].callback(Answer(Completion.SUCCEEDED))
+    rig.step(connection_state.PARTIAL_LINE_EVICTION_AGE_MS + 100)
+    rig.listener._schedule_evictions(1)
+    rig.step(10)
+    assert idle_pipe.closed and not stalled_pipe.closed
+
+
 def test_a_client_that_does_not_read_its_answers_is_closed():
     rig = Rig()
     client, pipe = rig.client()
--- a/tests/test_partial_lines.py
+++ b/tests/test_partial_lines.py
@@ -5,6 +5,7 @@
 import itertools
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -153,6 +154,44 @@
         assert counts[reason] >= 1
 
 
+# -- a crowd
+
+
+class StallingCrowd:
+    """Clients that begin a line and never end it; each comes back as soon as it is closed."""
+
+    def __init__(self, n, size):
+        self.closing, self.front_end = False, n
+        self.threads = [threading.Thread(target=self._stall, daemon=True) for _ in range(size)]
+        for thread in self.threads:
+            thread.start()
+
+    def _stall(self):
+        while not self.closing:
+            with contextlib.suppress(OSError), contextlib.closing(self.front_end.client().sock) as sock:
+                sock.sendall(request(1, call=call(1))[:FIRST_PIECE])
+                while sock.recv(4096):
+                    pass
+
+    def close(self):
+        self.closing = True
+
+
+def test_a_crowd_of_stalled_lines_keeps_nobody_out(tmp_path):
+    """Guards against: stalled lines hold every place for their whole time, and clients wait."""
+    with node(tmp_path, [Executor()], before="ulimit -n 100; ") as n:
+        with contextlib.closing(StallingCrowd(n, 100)):
+            time.sleep(0.5)
+            for number in (1, 2, 3):
+                client = n.client()
+                if number == 2:
+                    say_in_two_pieces(client, request(1, call=call(10 + number), ttl=TTL_MS))
+                else:
+                    client.say(request(1, call=call(10 + number), ttl=TTL_MS))
+                assert "result" in client.hear()
+        assert n.events()[-1]["clients"][CloseReason.NO_CAPACITY] > 0
+
+
 # -- waits for sockets that are interrupted
 
 
