Abort a closing connection for want of capacity by the age of its close

What callers saw: a client whose connection was ended for a bad line after a rest could lose the error line: the connection was aborted in the same turn when the front end was short of capacity. Cause: the age of the close was taken from the last message, which may lie seconds back: one thing's age measured by another's. Evidence: in memory, after a rest of 1 s the close is aborted at once; on a new text 20 ms after the close. Change: the state keeps when the close began. Why it works: the 20 ms count from there. Measured: the new test in memory is red on the text before, green now; not played on a real process.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -303,7 +303,7 @@
     def _close_if_settled(self) -> None:
         if not self.state.may_close():
             return
-        self.state.close()
+        self.state.close(self.listener.now())
         self.transport.unregisterProducer()
         if self.state.reason in LINGERING_REASONS:
             self.transport.loseWriteConnection()
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -120,7 +120,7 @@
         self.evictions_wanted = 0
         closing = [c for c in self.connections if c.state.phase is Phase.CLOSING]
         for connection in closing:
-            if now - connection.state.last_activity_ms > RECHECK_DELAY_MS:
+            if now - connection.state.closing_since_ms > RECHECK_DELAY_MS:
                 connection.transport.abortConnection()
         idle = [c for c in self.connections if c.may_be_evicted(now)]
         idle.sort(key=lambda c: c.state.eviction_rank())
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -91,6 +91,7 @@
         self.last_activity_ms = now  # time of the last complete line or answer, or of the start
         self.partial_line_since_ms: float | None = None  # first byte of the line that is not complete yet
         self.unread_since_ms: float | None = None  # time since which the client does not read answers
+        self.closing_since_ms = now  # time since which the phase is CLOSING
         self.unread_lines = 0  # lines received while answers are not read
 
     # -- events
@@ -151,9 +152,10 @@
         self.phase = Phase.SETTLING
         return bool(self.open_requests)
 
-    def close(self) -> None:
+    def close(self, now: float) -> None:
         """Note that the last answer has been written."""
         assert self.may_close(), self.reason
+        self.closing_since_ms = now
         self.phase = Phase.CLOSING
 
     def connection_lost(self) -> None:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -379,6 +379,23 @@
     assert idle_pipe.closed and not stalled_pipe.closed
 
 
+def test_a_connection_that_has_just_been_closed_has_time_for_its_last_answer():
+    """Guards against: a closing connection is aborted at once because it had rested before its close."""
+    rig = Rig(bound=8)
+    client, pipe = rig.client()
+    client.dataReceived(request(1, call=call(1)))
+    rig.submitted[0][1].callback(Answer(Completion.SUCCEEDED))
+    rig.step(1000)
+    client.end(CloseReason.UNREADABLE)
+    rig.listener.free_capacity()
+    rig.step(10)
+    assert pipe.closed and not pipe.aborted
+    rig.step(client_listener.RECHECK_DELAY_MS)
+    rig.listener.free_capacity()
+    rig.step(10)
+    assert pipe.aborted
+
+
 def test_a_client_that_does_not_read_its_answers_is_closed():
     rig = Rig()
     client, pipe = rig.client()
