One timer for requests over HTTP at both sites; a later request at the console ends too

What callers saw: at the console a connection's first request had 20 s, but each later one could come a byte now and then for ever and hold one of 160 connections. Cause: the console had its own timer, from the connection's beginning until its first request; the listener got another one. Evidence: the new test of the console, in memory: open 20 s behind the first byte of a second request, on the text before. Change: gateway/http_request_timeout.py holds the timers of both sites; the console's own one and five calls to it are gone. Why it works: each request's time begins with its own first byte at both.

--- a/petrelway/console/serving.py
+++ b/petrelway/console/serving.py
@@ -16,6 +16,7 @@
 
 from ..background.planner import Class
 from ..background.running import Background, RefusedError
+from ..gateway.http_request_timeout import REQUEST_TIMEOUT_S, RequestTimeouts, TimedRequest
 from ..policy.messages import ChangeRequest
 from . import pages
 
@@ -25,7 +26,6 @@
 VIEWERS_BOUND = 64
 LIVE_MS, LIVE_SLOW_MS = 1000.0, 5000.0  # between live figures, and when the daemon gives up something
 SLOW_READER_MS = 10_000.0  # a viewer that takes nothing for so long is cut off
-HALF_REQUEST_S = 20  # a request that is not whole by then is dropped
 BODY_BOUND = 4096
 WISH_BOUND = 2 << 20  # bytes of an operator's change, with its document and that of the settings
 HEADERS = {
@@ -37,7 +37,7 @@
 }
 
 
-class Request(server.Request):
+class Request(TimedRequest):
     def gotLength(self, length: int | None) -> None:
         if length is not None and length > self.channel.site.body_bound:
             self.channel.loseConnection()
@@ -65,7 +65,6 @@
         self.token = token  # empty: read-only
         self.clock = reactor
         self.counts: dict[str, int] = {}
-        self.limits: dict[Any, Any] = {}  # transport -> the call that ends it
         self.templates = jinja2.Environment(
             loader=jinja2.FileSystemLoader(HERE / "templates"),
             autoescape=True,
@@ -88,8 +87,9 @@
         if token and daemon.policy is not None:
             self.body_bound = WISH_BOUND
             root.putChild(b"wish", Wish(self))
-        super().__init__(root, timeout=HALF_REQUEST_S, reactor=reactor)
+        super().__init__(root, timeout=REQUEST_TIMEOUT_S, reactor=reactor)
         self.displayTracebacks = False
+        self.request_timeouts = RequestTimeouts(reactor, self._request_timed_out)
         self._live_later()
 
     def buildProtocol(self, address):
@@ -98,29 +98,15 @@
             return None
         channel = super().buildProtocol(address)
         self.connections += 1
-        lost, make = channel.connectionLost, channel.makeConnection
-
-        def making(transport):
-            # danger: one byte now and then would keep an idle time-out from ever acting
-            limit = self.clock.callLater(HALF_REQUEST_S, transport.abortConnection)
-            self.limits[transport] = limit
-            channel.forget = lambda: self.whole(transport)
-            return make(transport)
-
-        def counted(reason=None):
-            self.connections -= 1
-            channel.forget()
-            return lost(reason)
-
-        channel.forget = lambda: None
-        channel.makeConnection, channel.connectionLost = making, counted
+        self.request_timeouts.watch(channel, self._connection_closed)
         return channel
 
-    def whole(self, transport) -> None:
-        """A request has come whole: this connection has shown good faith."""
-        limit = self.limits.pop(transport, None)
-        if limit is not None and limit.active():
-            limit.cancel()
+    def _connection_closed(self) -> None:
+        self.connections -= 1
+
+    def _request_timed_out(self, transport: interfaces.ITransport) -> None:
+        self._count("requests not complete in time")
+        transport.abortConnection()
 
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -178,7 +164,6 @@
         self.console, self.name = console, name
 
     def render_GET(self, request: Request):
-        self.console.whole(request.transport)
         asked = {
             k.decode("latin-1"): v[0].decode(errors="replace")[:500] for k, v in request.args.items() if v
         }
@@ -227,7 +212,6 @@
         self.body, self.kind = file.read_bytes(), kind
 
     def render_GET(self, request: Request):
-        self.console.whole(request.transport)
         _answer(request, 200, self.kind, self.body)
         return server.NOT_DONE_YET
 
@@ -283,7 +267,6 @@
         self.console = console
 
     def render_GET(self, request: Request):
-        self.console.whole(request.transport)
         if len(self.console.viewers) >= VIEWERS_BOUND:
             _answer(request, 503, b"text/plain", b"too many look on\n")
             return server.NOT_DONE_YET
@@ -306,7 +289,6 @@
         self.console = console
 
     def render_POST(self, request: Request):
-        self.console.whole(request.transport)
         given = (request.getHeader("authorization") or "").removeprefix("Bearer ")
         if hmac.compare_digest(given.encode("utf-8", "replace"), self.console.token.encode()):
             return self.trusted(request)
@@ -365,7 +347,6 @@
         from prometheus_client import CollectorRegistry, generate_latest
         from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-        self.console.whole(request.transport)
         daemon = self.console.daemon
 
         class Collector:
--- a/petrelway/gateway/http_listener.py
+++ b/petrelway/gateway/http_listener.py
@@ -17,7 +17,7 @@
 from ..events.single import Event, EventError, read
 from .answers import Answer, Completion
 from .cloudevent_requests import CloudEventReader, ReceivedRequest
-from .http_request_timeout import REQUEST_TIMEOUT_S, RequestTimeout
+from .http_request_timeout import REQUEST_TIMEOUT_S, RequestTimeouts, TimedRequest
 from .http_responses import problem_document, refuse, reject_before_acceptance, write_answer
 
 BODY_BOUND = 1 << 18  # maximum size of a request body in bytes
@@ -28,7 +28,7 @@
 IDLE_S = 60  # a connection without a request for this long is closed
 
 
-class BodyBoundRequest(server.Request):
+class BodyBoundRequest(TimedRequest):
     """A request whose body is refused at BODY_BOUND, before it is collected in memory."""
 
     over_bound = False
@@ -59,18 +59,9 @@
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Process a request whose body was not refused."""
-        self._timeout().request_received()
         if not self.over_bound:
             super().requestReceived(command, path, version)
 
-    def finish(self) -> None:
-        """End the response; what the client has sent meanwhile is read by this call."""
-        self._timeout().request_answered()
-        super().finish()
-
-    def _timeout(self) -> RequestTimeout:
-        return self.channel.site.request_timeouts[self.channel.transport]
-
 
 def _end_with_problem(transport: interfaces.ITransport, status: bytes, problem: bytes) -> None:
     """Write a response ahead of a request that was not received to its end, and close the connection."""
@@ -112,7 +103,6 @@
         self.admission_retry_ms: Callable[[ReceivedRequest], float] = lambda received: 0.0
         self.draining = False
         self.connections = 0
-        self.request_timeouts: dict[interfaces.ITransport, RequestTimeout] = {}
         self.counts: Counter[str] = Counter()
         root = resource.Resource()
         root.putChild(b"triggers", RequestResource(self))
@@ -122,6 +112,7 @@
             root, timeout=IDLE_S, parsePOSTFormSubmission=False, **({"reactor": reactor} if reactor else {})
         )
         self.displayTracebacks = False
+        self.request_timeouts = RequestTimeouts(self.reactor, self._request_timed_out)
 
     def buildProtocol(self, address):
         """Accept a connection and count it; beyond the bound return None, which closes it at once."""
@@ -130,32 +121,11 @@
             return None
         channel = super().buildProtocol(address)
         self.connections += 1
-        self._watch(channel)
+        self.request_timeouts.watch(channel, self._connection_closed)
         return channel
 
-    def _watch(self, channel) -> None:
-        """Have a connection counted until its end, and the time of its requests bounded."""
-        connected, received, lost = channel.makeConnection, channel.dataReceived, channel.connectionLost
-
-        def make_connection(transport):
-            timeout = RequestTimeout(self.reactor, lambda: self._request_timed_out(transport))
-
-            def data_received(data):
-                timeout.bytes_received()
-                return received(data)
-
-            def connection_lost(reason=None):
-                self.connections -= 1
-                timeout.cancel()
-                del self.request_timeouts[transport]
-                return lost(reason)
-
-            self.request_timeouts[transport] = timeout
-            channel.dataReceived = data_received
-            channel.connectionLost = connection_lost
-            return connected(transport)
-
-        channel.makeConnection = make_connection
+    def _connection_closed(self) -> None:
+        self.connections -= 1
 
     def _request_timed_out(self, transport: interfaces.ITransport) -> None:
         self.count_refused(408)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -13,7 +13,6 @@
 from petrelway.console import pages
 from petrelway.console.serving import (
     CONNECTIONS_BOUND,
-    HALF_REQUEST_S,
     VIEWERS_BOUND,
     Leave,
     read_token,
@@ -22,6 +21,7 @@
 from petrelway.console.telemetry import EVENTS_BOUND, NAMES_BOUND, SECONDS, STORIES, Telemetry
 from petrelway.fakes.in_memory_network import Process
 from petrelway.gateway.function_spec import FunctionSpec
+from petrelway.gateway.http_request_timeout import REQUEST_TIMEOUT_S
 from petrelway.scenarios.inmemory import CONSOLE_PORTS, MemoryDay
 
 
@@ -223,11 +223,30 @@
     rig.to(3.0)
     assert fat.closed and rig.daemon.console.connections in (CONNECTIONS_BOUND - 1, CONNECTIONS_BOUND)
     assert sum(b.closed for b in many) >= 10
-    rig.to(3.0 + HALF_REQUEST_S)
+    rig.to(3.0 + REQUEST_TIMEOUT_S)
     assert endless.closed and rig.daemon.console.connections == 0
     assert rig.get("/own")[0] == 200
 
 
+def test_a_later_request_that_never_ends_is_cut_off_too():
+    """Guards against: after one complete request a byte now and then holds a connection for ever."""
+    rig = Rig(length=60)
+    rig.to(1.0)
+    viewer = rig.open(b"GET /own HTTP/1.1\r\nhost: x\r\n\r\n")
+    rig.to(8.0)  # it rests
+
+    def drip():
+        if not viewer.closed:
+            viewer.transport.write(b"x")
+            rig.process.callLater(2.0, drip)
+
+    drip()
+    rig.to(7.0 + REQUEST_TIMEOUT_S)
+    assert not viewer.closed
+    rig.to(9.0 + REQUEST_TIMEOUT_S)
+    assert viewer.closed and rig.daemon.console.counts["requests not complete in time"] == 1
+
+
 HOSTILE = [
     "<script>alert(1)</script>",
     "a\"onload='x'",
--- a/tests/test_http_request_timeout.py
+++ b/tests/test_http_request_timeout.py
@@ -62,6 +62,6 @@
     rig = Rig()
     rig.channel.dataReceived(whole_request()[:50])
     rig.channel.connectionLost(lost())
-    assert rig.listener.request_timeouts == {} and rig.listener.connections == 0
+    assert rig.listener.request_timeouts.timeouts == {} and rig.listener.connections == 0
     step(rig, REQUEST_TIMEOUT_S + 1)
     assert rig.listener.counts["refused 408"] == 0
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from petrelway.gateway.http_request_timeout import REQUEST_TIMEOUT_S
 from petrelway.invariants.checker import figures, judge
 from petrelway.invariants.records import read
 from petrelway.settings.days import check_day
@@ -137,6 +138,29 @@
     assert status(post(port, function="nope")) == 422
 
 
+def test_a_request_that_trickles_ends_at_its_bound_with_its_reason(running):
+    """Guards against: a byte now and then holds a connection of a real front end for ever."""
+    _, peer, port, _ = running
+    client = post(port)
+    peer.end(peer.hear("sent"))
+    assert status(client) == 200
+    began = time.monotonic()
+    client.sendall(b"POST /triggers HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"[:-2])
+    client.settimeout(0.5)
+    heard = b""
+    while time.monotonic() < began + REQUEST_TIMEOUT_S + WAIT_S:
+        try:
+            client.sendall(b"x")
+            if not (data := client.recv(65536)):
+                break
+            heard += data
+        except TimeoutError:
+            continue
+        except ConnectionError:
+            break
+    assert heard.startswith(b"HTTP/1.1 408 ") and time.monotonic() - began >= REQUEST_TIMEOUT_S
+
+
 def test_a_term_signal_answers_what_is_owed(running):
     process, peer, port, log = running
     client = post(port)
