--- a/tests/partial_soak.py
+++ b/tests/partial_soak.py
@@ -89,15 +89,15 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.counts: Counter[str] = Counter()
-        self.broken: list[str] = []
+        self.violations: list[str] = []
 
     def note(self, what: str) -> None:
         with self.lock:
             self.counts[what] += 1
 
-    def breach(self, text: str) -> None:
+    def violation(self, text: str) -> None:
         with self.lock:
-            self.broken.append(text)
+            self.violations.append(text)
 
 
 class Caller(threading.Thread):
@@ -131,15 +131,15 @@
                     time.sleep(self.randomly.uniform(0.0, LONGEST_LINE_S / 4))
             heard = self.client.hear()
         except OSError as error:
-            self.ledger.breach(f"{what}: {type(error).__name__}")
+            self.ledger.violation(f"{what}: {type(error).__name__}")
             return False
         if heard is None or heard.get("id") != number:
-            self.ledger.breach(f"{what}: {heard}")
+            self.ledger.violation(f"{what}: {heard}")
             return False
         code = heard.get("error", {"code": 0})["code"]
         self.ledger.note({0: "served", ErrorCode.REJECTED: "refused"}.get(code, f"error {code}"))
         if code not in (0, ErrorCode.REJECTED):
-            self.ledger.breach(f"{what}: {heard}")
+            self.ledger.violation(f"{what}: {heard}")
         return True
 
 
@@ -173,27 +173,27 @@
             if not data:
                 self.ledger.note("stalled lines ended")
                 return
-        self.ledger.breach("a stalled line was never ended")
+        self.ledger.violation("a stalled line was never ended")
 
 
-class Troubles:
+class Faults:
     """What the process meets meanwhile, two at a time now and then."""
 
     def __init__(self, node: Node, buses: list[PiecewiseBus], calls: FailingCalls, seed: int) -> None:
         self.node, self.buses, self.calls = node, buses, calls
         self.randomly = random.Random(seed)
-        self.met: Counter[str] = Counter()
+        self.played: Counter[str] = Counter()
         self.stage = 0
 
     def play(self, until_s: float) -> None:
         while time.monotonic() < until_s:
             time.sleep(self.randomly.uniform(0.1, 0.7))
-            for trouble in self.randomly.sample(
+            for fault in self.randomly.sample(
                 [self._pause, self._interrupt_waits, self._move_bus, self._tell],
                 self.randomly.choice((1, 1, 2)),
             ):
-                self.met[trouble.__name__.strip("_")] += 1
-                trouble()
+                self.played[fault.__name__.strip("_")] += 1
+                fault()
         self.calls.well()
 
     def _pause(self) -> None:
@@ -228,12 +228,12 @@
     try:
         node.write(buses[0])
         node.signal(signal.SIGHUP)
-        troubles = Troubles(node, buses, calls, seed)
+        faults = Faults(node, buses, calls, seed)
         callers = [Caller(node.address, f"{seed}/{n}", ledger, leaving) for n in range(CLIENTS)]
         stalling = [StallingCaller(node.address, f"{seed}/s{n}", ledger) for n in range(STALLING)]
         for thread in (*callers, *stalling):
             thread.start()
-        troubles.play(time.monotonic() + PLAY_S)
+        faults.play(time.monotonic() + PLAY_S)
         for thread in stalling:
             thread.join(WAIT_S)
         leaving.set()  # lines that have begun are completed, across the beginning of the drain
@@ -246,18 +246,18 @@
         for bus in buses:
             bus.close()
         calls.close()
-    broken = ledger.broken
+    violations = ledger.violations
     if any(thread.is_alive() for thread in (*callers, *stalling)):
-        broken.append("a client still waits")
+        violations.append("a client still waits")
     if node.process.returncode != 0:
-        broken.append(f"the process ended with {node.process.returncode}")
+        violations.append(f"the process ended with {node.process.returncode}")
     figures = events[-1]
     ended = figures.get("clients", {}).get(CloseReason.PARTIAL_LINE, 0)
     if ended != STALLING:
-        broken.append(f"{ended} lines counted as stalled, {STALLING} stalled")
-    broken += [f"logged: {event}" for event in events if event["level"] in ("error", "critical")]
-    seen = f"{dict(sorted(ledger.counts.items()))} {dict(sorted(troubles.met.items()))}"
-    return broken, f"{seen} executors {figures.get('executors')} discovery {figures.get('discovery')}"
+        violations.append(f"{ended} lines counted as stalled, {STALLING} stalled")
+    violations += [f"logged: {event}" for event in events if event["level"] in ("error", "critical")]
+    seen = f"{dict(sorted(ledger.counts.items()))} {dict(sorted(faults.played.items()))}"
+    return violations, f"{seen} executors {figures.get('executors')} discovery {figures.get('discovery')}"
 
 
 def main(first: int, last: int) -> int:
@@ -267,10 +267,11 @@
         library = build(Path(library_folder))
         for seed in range(first, last + 1):
             with tempfile.TemporaryDirectory() as folder:
-                broken, seen = play(seed, library, Path(folder))
-            failed += bool(broken)
+                violations, seen = play(seed, library, Path(folder))
+            failed += bool(violations)
             print(
-                f"seed {seed}: {'BROKEN ' + '; '.join(broken[:3]) if broken else 'kept'} {seen}", flush=True
+                f"seed {seed}: {'BROKEN ' + '; '.join(violations[:3]) if violations else 'kept'} {seen}",
+                flush=True,
             )
     return int(failed > 0)
 
