--- a/review/parts-2/standins.py
+++ b/review/parts-2/standins.py
@@ -79,7 +79,7 @@
         self.closers: list = []
 
     def note(self, text: str) -> None:
-        self.record.note(text.replace(str(self.temp), "TMP"))
+        self.record.note(text.replace(str(self.temp), "TMP").replace(str(ROOT), "."))
 
     def start(self, name: str, *arguments: str) -> subprocess.Popen:
         """Start the program as the deploy file does: `.venv/bin/python -m petrelway ...` from the root."""
