Review case 10: serve goes on sending to a draining worker once its watch fell silent

Cause: the registry's client of serve has no bound on silence and its list no lease. Added: review/10 anew, a proxy that leaves connections open and silent.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,14 +1,11 @@
-"""A store that breaks off one answer: the worker has to notice the next release of a function all the same."""
+"""The open watch on the registry falls silent, and a worker is listed as draining: when do sends to it end?"""
 
 from __future__ import annotations
 
-import contextlib
-import hashlib
 import json
-import socket
 import sys
-import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -16,92 +13,38 @@
 from standins import (  # noqa: E402
     CannotRun,
     Case,
+    Proxy,
     Registry,
     ask,
     event_bytes,
     free_port,
     package,
     play,
-    served,
     start_front,
+    start_store,
     start_worker,
     trouble,
     until,
 )
 
-RELEASE = '''
+# Notes at which worker it runs: a replica is the worker's own child.
+WHERE = '''
+import json, os, time
+
 def entry(body, call):
-    return b'"release %s"'
+    asked = json.loads(body)
+    with open(asked["ledger"], "a") as ledger:
+        ledger.write(json.dumps({"id": asked["id"], "worker": os.getppid(), "at": time.monotonic()}) + "\\n")
+    return b'"done"'
 '''
-RECHECK_MS = 1000.0
-ALLOWED_S = 30.0  # thirty rechecks, and far more than a load takes
-OUTER_MS = 4000.0
-
-
-class Store:
-    """The package store over HTTP: names and packages; it can break one answer on a name off in the middle."""
-
-    def __init__(self, case: Case) -> None:
-        self.case = case
-        self.files: dict[str, bytes] = {}
-        self.names: dict[str, dict] = {}
-        self.break_next = False
-        self.broken = 0
-        self.asked = 0  # whole answers on names since the break
-        self.server = socket.create_server(("127.0.0.1", 0))
-        self.port = self.server.getsockname()[1]
-        case.closers.append(self.server.close)
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def put(self, name: str, file: Path) -> None:
-        data = file.read_bytes()
-        digest = hashlib.sha256(data).hexdigest()
-        self.files[digest] = data
-        self.names[name] = {"digest": digest, "size": len(data), "memory_mb": 40, "lanes": 8}
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.server.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock: socket.socket) -> None:
-        data = b""
-        with contextlib.suppress(OSError):
-            while True:
-                while b"\r\n\r\n" not in data:
-                    got = sock.recv(65536)
-                    if not got:
-                        sock.close()
-                        return
-                    data += got
-                head, _, data = data.partition(b"\r\n\r\n")
-                if not self._answer(sock, head.split(b" ")[1].decode()):
-                    return
-
-    def _answer(self, sock: socket.socket, path: str) -> bool:
-        kind, _, key = path.strip("/").partition("/")
-        if kind == "names" and key in self.names:
-            body = json.dumps(self.names[key]).encode()
-        elif kind == "packages" and key in self.files:
-            body = self.files[key]
-        else:
-            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-            return True
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-        if kind == "names" and self.break_next:
-            self.break_next = False
-            sock.sendall(answer[: len(answer) - len(body) // 2])
-            time.sleep(0.05)
-            self.case.note(f"store: breaks the answer on the name {key} off in the middle")
-            self.broken += 1
-            sock.close()
-            return False
-        sock.sendall(answer)
-        self.asked += kind == "names"
-        return True
+FUNCTIONS = [f"part-{number}" for number in range(8)]
+OUTER_MS = 3000.0
+TOLD_AFTER_SILENCE_S = 4.0  # DAYS: "Its news counts as told [...] 4 s after a stop."
+GRACE_S = 2.0  # the longest that the pages name (WIRE, stopSendingWithinS 2.0)
+SOCKETS_S = 0.05  # PROTOCOL: "every time limit 50 ms longer"
+DRAIN_AFTER_S = 0.5
+WATCHED_S = 30.0  # after the drain is listed; the worker stays up, as one that finishes its work does
+EVERY_S = 0.05
 
 
 def main() -> None:
@@ -109,45 +52,73 @@
 
 
 def body(case: Case) -> list[str]:
-    store = Store(case)
-    store.put("price", package(case, "price", RELEASE % "1", version="1"))
-    second = package(case, "price", RELEASE % "2", version="2")
-    port, worker = free_port(), free_port()
-    start_worker(case, "worker-0", worker, store.port, loads={"recheck_ms": RECHECK_MS})
+    for function in FUNCTIONS:
+        package(case, function, WHERE)
+    store, port = start_store(case), free_port()
     registry = Registry(case)
-    registry.tell("worker-0", worker)
-    tariff = {"name": "price", "effect": "harmless", "quoted_ms": 1000, "outer_ms": OUTER_MS}
-    start_front(case, port, registry.port, tariffs=[tariff])
-    until(lambda: served(port, "price", "price", b"{}"), "a first trigger is fulfilled")
-    before = store.asked
-    until(lambda: store.asked >= before + 2, "the worker asks the store again by itself")
+    watch = Proxy(case, registry.port)  # the way from the front end to the registry
+    ports, pids = {}, {}
+    for name in ("worker-0", "worker-1"):
+        ports[name] = free_port()
+        pids[start_worker(case, name, ports[name], store).pid] = name
+        registry.tell(name, ports[name])
+    tariff = {"name": "status", "effect": "harmless", "quoted_ms": 1000, "outer_ms": OUTER_MS}
+    start_front(case, port, watch.port, tariffs=[tariff])
+    ledger = case.temp / "ledger.txt"
+    ledger.write_text("")
+    count = 0
+
+    def send(function: str) -> str:
+        nonlocal count
+        count += 1
+        asked = json.dumps({"ledger": str(ledger), "id": f"u{count}"}).encode()
+        answer = ask(port, event_bytes(port, "status", function, asked, f"u{count}"), OUTER_MS / 1e3 + 0.5)
+        return f"{answer.status} {answer.outcome}" if answer else "no answer"
+
+    def runs() -> list[dict]:
+        return [json.loads(line) for line in ledger.read_text().splitlines()]
+
+    until(lambda: send(FUNCTIONS[0]).startswith("200"), "a first trigger is fulfilled")
+    for _ in range(3):
+        for function in FUNCTIONS:
+            send(function)
+    before = Counter(pids[run["worker"]] for run in runs())
+    case.note(f"before: triggers run by worker {dict(before)}")
+    leaving, _ = before.most_common()[0]
+
     if trouble():
-        store.break_next = True
-        until(lambda: store.broken, "the worker asks the store again")
-    else:
-        case.note("store: no answer is broken off")
-    time.sleep(1.0)
-    store.put("price", second)
-    released = time.monotonic()
-    store.asked = 0
-    case.note("store: the name price points at release 2 from now on; all its answers are whole")
-
-    number, last = 0, ""
-    while time.monotonic() - released < ALLOWED_S:
-        number += 1
-        answer = ask(port, event_bytes(port, "price", "price", b"{}", f"p{number}"), OUTER_MS / 1e3)
-        found = json.loads(answer.body) if answer is not None and answer.status == 200 else str(answer or "no answer")
-        if found != last:
-            case.note(f"client: p{number}, {time.monotonic() - released:.1f} s after the release: {found}")
-        last = found
-        if found == "release 2":
-            return []
-        time.sleep(0.5)
-    if last != "release 1":
-        raise CannotRun(f"the last trigger, p{number}: {last}")
-    case.note(f"client: p{number}, {time.monotonic() - released:.1f} s after the release: still {last}")
-    case.note(f"store: the worker asked for a name {store.asked} times in the {ALLOWED_S:g} s after the release")
-    return [f"{ALLOWED_S:g} s after release 2 the caller still gets the answer of release 1"]
+        silent = watch.mute()
+        case.note(f"the open watch falls silent ({silent} connection); the registry and new connections to it are well")
+        if silent != 1:
+            raise CannotRun(f"{silent} watches were open")
+    began = time.monotonic()
+    time.sleep(DRAIN_AFTER_S)
+    registry.tell(leaving, ports[leaving], stage="draining")
+    listed = time.monotonic()
+    told = max(listed, began + TOLD_AFTER_SILENCE_S) if trouble() else listed
+    limit = told + GRACE_S + SOCKETS_S
+    case.note(f"{leaving} counts as told to drain at {told - began:.2f} s, nothing new from {limit - began:.2f} s on"
+              f" (seconds since {'the silence began' if trouble() else 'the same moment'})")
+
+    answers: Counter[str] = Counter()
+    while time.monotonic() - listed < WATCHED_S:
+        answers[send(FUNCTIONS[count % len(FUNCTIONS)])] += 1
+        time.sleep(EVERY_S)
+    after = [run for run in runs() if run["at"] > limit]
+    where = Counter(pids[run["worker"]] for run in after)
+    late = [run for run in after if pids[run["worker"]] == leaving]
+    case.note(f"client: answers since the drain was listed {dict(answers)}")
+    case.note(f"triggers run after the limit, by worker: {dict(where)}")
+    if not after:
+        raise CannotRun("nothing ran after the limit")
+    for run in [*late[:3], *late[-1:]]:
+        case.note(f"{leaving} ran {run['id']} at {run['at'] - began:.2f} s, {run['at'] - limit:.2f} s past the limit")
+    # one trigger is open at a time, so what runs past the limit by more than an answer takes was sent past it
+    sent_late = [run for run in late if run["at"] - limit > OUTER_MS / 1e3]
+    if sent_late:
+        return [f"{len(sent_late)} new triggers were sent to {leaving} over {OUTER_MS / 1e3:g} s past the limit,"
+                f" the last {sent_late[-1]['at'] - limit:.1f} s past it"]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/parts-2/standins.py
+++ b/review/parts-2/standins.py
@@ -205,11 +205,13 @@
 
 
 class Proxy:
-    """Passes bytes both ways; `reset()` ends all open connections with a reset. New ones pass again."""
+    """Passes bytes both ways. `reset()` ends all open connections with a reset, `mute()` leaves them open and
+    passes nothing on them any more. New ones pass again."""
 
     def __init__(self, case: Case, target_port: int) -> None:
         self.target_port = target_port
         self.pairs: list[tuple[socket.socket, socket.socket]] = []
+        self.muted: set[socket.socket] = set()
         self.lock = threading.Lock()
         self.server = socket.create_server(("127.0.0.1", 0))
         self.port = self.server.getsockname()[1]
@@ -238,10 +240,19 @@
     def _pump(self, a: socket.socket, b: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while data := a.recv(65536):
-                b.sendall(data)
+                if a not in self.muted:
+                    b.sendall(data)
+        if a in self.muted:
+            return
         with contextlib.suppress(OSError):
             b.shutdown(socket.SHUT_WR)
 
+    def mute(self) -> int:
+        with self.lock:
+            pairs, self.pairs = self.pairs, []
+            self.muted.update(sock for pair in pairs for sock in pair)
+        return len(pairs)
+
     def reset(self) -> int:
         with self.lock:
             pairs, self.pairs = self.pairs, []
