--- a/petrelway/fakes/platform_peers.py
+++ b/petrelway/fakes/platform_peers.py
@@ -139,6 +139,7 @@
     bus: Any = "127.0.0.1:7070",
     executors: tuple[tuple[int, int], ...] = ((1, 7001),),
     sockets: Any = 256,
+    memory_mb: Any = 192,
     **more,
 ) -> bytes:
     """A front end's configuration; `more` replaces its keys."""
@@ -146,7 +147,7 @@
         "name": "n0",
         "listen": listen,
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "peers": [],
         "bus": bus,
         "known": known(*executors),
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -101,7 +101,16 @@
     """One front end, its bus and executors; `close` ends all, so that all that was written has arrived."""
 
     def __init__(
-        self, path, executors, known=None, sockets=256, before="", failing=None, bus_up=True, **changes
+        self,
+        path,
+        executors,
+        known=None,
+        sockets=256,
+        before="",
+        failing=None,
+        bus_up=True,
+        memory_mb=192,
+        **changes,
     ):
         """`before`: of the shell, ahead of the command; `failing`: its system calls, as FailingCalls."""
         self.executors, self.bus = executors, Bus()
@@ -111,6 +120,7 @@
         self.config = {
             "executors": tuple((n, executors[n - 1].port) for n in known or (1,)),
             "sockets": sockets,
+            "memory_mb": memory_mb,
             "settings": settings(**changes),
         }
         self.write(self.bus)
