Log of a process's memory: near its limit once an episode, with what holds it

Change: common/process_memory.py reads the system's figure, node/memory_watch.py compares it with the limit; events memory short and memory sufficient with what holds it, resident_mb in front end started, memory in front end stopped.

--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -129,6 +129,14 @@
             if connection.may_be_evicted(now):
                 connection.end(CloseReason.NO_CAPACITY)
 
+    def memory_uses(self) -> dict[str, int]:
+        """Return what holds memory here: bytes by what they are for, and numbers of objects."""
+        return {
+            "client connections": len(self.connections),
+            "closing client connections": sum(c.state.phase is Phase.CLOSING for c in self.connections),
+            "received, bytes": sum(len(c.lines.buffered) for c in self.connections),
+        }
+
     # -- log
 
     def line_rejected(self, error: ClientLineError) -> None:
--- a/petrelway/node/connection_set.py
+++ b/petrelway/node/connection_set.py
@@ -214,6 +214,10 @@
         for connection in list(self.connections):
             self.drop(connection, EndReason.LEAVING)
 
+    def partial_answer_bytes(self) -> int:
+        """Return how many bytes of answers that are not complete yet are buffered."""
+        return sum(len(connection.reader.buffered) for connection in self.connections)
+
     # -- the sweep
 
     def _sweep(self) -> None:
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -16,6 +16,7 @@
 from twisted.internet import defer, interfaces
 
 from ..common.endpoint_entry import EndpointEntry
+from ..common.process_memory import ResidentMemory
 from ..daemon.shedding import Shedder
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.function_spec import FunctionSpec
@@ -35,6 +36,7 @@
 from .discovery import DiscoveryClient
 from .executor_pool import ExecutorPool
 from .lifecycle import GracefulShutdown
+from .memory_watch import BYTES_PER_MB, MemoryWatch
 from .peers import start_membership
 
 BACKLOG = 512  # listen backlog: connections that wait in the system's queue to be accepted
@@ -111,6 +113,13 @@
         self.client_listener = self._make_client_listener(shares)
         self.discovery = self._make_discovery(random_source)
         self.discovery.start(configuration.initial_events, self.configured_ms)
+        self.resident_memory = ResidentMemory()
+        self.memory_watch = MemoryWatch(
+            configuration.memory_mb * BYTES_PER_MB,
+            self.resident_memory.read_bytes,
+            self.memory_uses,
+            self.log,
+        )
         self._measure_load(self.now())
         self.port = self.retry_transient_errors(self._listen)
         self.join_peers()
@@ -122,6 +131,7 @@
             sockets=sockets,
             memory_mb=configuration.memory_mb,
             executors=len(self.dispatcher.channels),
+            resident_mb=self.memory_watch.figures()["start_mb"],
         )
 
     def _make_dispatcher(self, random_source: random.Random) -> Dispatcher:
@@ -278,6 +288,7 @@
         now = self.now()
         dispatcher = self.dispatcher
         self.admission.lag_measured(now - due_ms)
+        self.memory_watch.measured()
         dispatcher.check_wall_clock()
         self.discovery.reactor_turned()
         if self.port is not None:
@@ -341,8 +352,21 @@
             self.membership.stopService()
         self.client_listener.close()
         self.dispatcher.close()
+        self.resident_memory.close()
+
+    def memory_uses(self) -> dict[str, int]:
+        """Return what holds memory: bytes by what they are for, and numbers of objects."""
+        pools = self.dispatcher.channels.values()
+        return {
+            **self.client_listener.memory_uses(),
+            "requests": len(self.dispatcher.pending),
+            "bodies of open requests, bytes": self.dispatcher.unanswered_bytes,
+            "functions": len(self.dispatcher.known_functions),
+            "executor connections": self.connection_budget.used,
+            "partial answers, bytes": sum(pool.partial_answer_bytes() for pool in pools),
+        }
 
-    def figures(self) -> dict[str, dict[str, int]]:
+    def figures(self) -> dict[str, dict[str, float]]:
         """Return the counters of all parts since the start."""
         return {
             "dispatcher": dict(sorted(self.dispatcher.counts.items())),
@@ -355,4 +379,5 @@
             "libraries": dict(sorted(self.library_errors.items())),
             "configurations": dict(sorted(self.reloader.counts.items())),
             "members": self.membership.figures() if self.membership is not None else {},
+            "memory": {**self.memory_watch.figures(), **self.memory_watch.counts},
         }
--- a/tests/memory_plays.py
+++ b/tests/memory_plays.py
@@ -144,7 +144,7 @@
 
 
 class UsualClient(threading.Thread):
-    """Asks one request after the other, a new connection each time; keeps how each ended and how long it took."""
+    """Asks one request after the other, each on a new connection; keeps their ends and times."""
 
     def __init__(self, address, seed, pause_s=0.02, ttl_ms=1500, body=b"hello"):
         super().__init__(daemon=True)
