An address belongs to the executor that started last, in whatever order events name it

Cause: of several executors listed at one address, the one named last in the last event got it. A late change of the old one, or its place behind the new one in a whole list, closed the new one's connections and forbade dialling. Change: node/address_owners.py, pure: the latest start owns the address, the others count as gone to pools and decisions until it is free again. The dispatcher hears of it too, which it did not before.

--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -29,6 +29,7 @@
 from ..routing.types import Idempotency
 from ..sockets.descriptors import available_descriptors
 from ..sockets.listening import listen_tcp
+from .address_owners import AddressOwners
 from .admission import AdmissionControl, DescriptorShares, share_descriptors
 from .client_listener import ClientListener
 from .configuration_reload import ConfigurationReloader
@@ -80,6 +81,7 @@
         self.port = None
         self.load_call = None
         self.configured_ms = self.now() if configured_ms is None else configured_ms
+        self.address_owners = AddressOwners()
         self.list_expired = False  # discovery's last confirmation of the endpoint list has expired
         self.stopping = False
         self.joins_peers = peers
@@ -227,18 +229,17 @@
     # -- the endpoint list
 
     def endpoints_changed(self, entries: list[EndpointEntry], complete: bool) -> None:
-        """Pass the list to the dispatcher, then remove the pools of executors that are gone."""
+        """Pass the list to the dispatcher, then remove the pools of executors that are gone.
+
+        An executor whose address belongs to a newer one counts as gone: what listens there is the newer one.
+        """
+        entries = self.address_owners.listed(entries, complete)
         self.dispatcher.executors_listed(entries, complete)
         entry_of = {entry.executor: entry for entry in entries}
-        executor_at = {
-            (entry.address, entry.port): entry.executor for entry in entries if entry.stage != "gone"
-        }
         for pool in self.dispatcher.channels.values():
             entry = entry_of.get(pool.stable)
             gone = entry.stage == "gone" if entry is not None else complete
-            # without this, a new executor at the same endpoint would be taken for the one that is gone
-            replaced = executor_at.get((pool.address, pool.port), pool.stable) != pool.stable
-            if gone or replaced:
+            if gone:
                 pool.remove()
             elif entry is not None:
                 pool.restore()
