Requests behind which their client has closed are not read, in any turn

Cause: a close is read only behind the bytes before it. Eight lines were read and submitted first, after a pause of the process however long ago the client had closed.

--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -287,7 +287,7 @@
         now = self.now()
         if request is None or request.answer is None or number not in request.in_flight:
             return 0.0
-        if now >= request.deadline_ms:
+        if now >= request.deadline_ms or self._client_has_left(request):
             return 0.0
         return request.deadline_ms - now if self.front_end.may_still_send(now, request.index, number) else 0.0
 
@@ -332,6 +332,12 @@
         self.front_end.client_gone(self.now(), request.index)
         self.turns.schedule()
 
+    def _client_has_left(self, request: PendingRequest) -> bool:
+        """Return whether the client has left, also if its close is not read yet; the request ends then."""
+        if request.answer is not None and request.answer.client_has_left():
+            request.answer.cancel()
+        return request.answer is None
+
     def _forget_answer(self, request: PendingRequest) -> PendingAnswer | None:
         """Detach and return the Deferred of a request that needs no answer any more.
 
@@ -501,6 +507,8 @@
         clock_ms = self.clock.seconds() * 1e3
         if clock_ms - now < INTERRUPTED_TURN_MS:
             return True
+        if self._client_has_left(request):
+            return False
         return self.front_end.may_still_send(clock_ms, request.index, number)
 
     def _attempt_timed_out(self, request: PendingRequest, number: int) -> None:
--- a/petrelway/gateway/pending_requests.py
+++ b/petrelway/gateway/pending_requests.py
@@ -42,8 +42,15 @@
     timer: interfaces.IDelayedCall | None = None
 
 
+def _unknown() -> bool:
+    return False
+
+
 class PendingAnswer(defer.Deferred):
-    """The one final answer of a request. Cancelling it reports that the client has disconnected."""
+    """The one final answer of a request. Cancelling it reports that the client has disconnected.
+
+    The host may set `client_has_left`, which says whether that has happened and is not reported yet.
+    """
 
     def __init__(self, on_cancel: Callable[[defer.Deferred], None], on_abandon: Callable[[], None]) -> None:
         """Create the Deferred.
@@ -51,6 +58,7 @@
         `on_cancel` is the Deferred's canceller; `on_abandon` requests the final answer at once."""
         super().__init__(on_cancel)
         self._on_abandon = on_abandon
+        self.client_has_left: Callable[[], bool] = _unknown
 
     def abandon(self) -> None:
         """Request the final answer now, whatever is in flight: rejected if a repeat is safe, else failed."""
--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -109,8 +109,14 @@
             self._abort()
 
     def _read_lines(self) -> None:
-        """Read a few lines; the rest waits until the other connections have been served."""
+        """Read a few lines; the rest waits until the other connections have been served.
+
+        None is read if the client has closed behind them: it has left, however much it wrote before.
+        """
         self.next_read = None
+        if self.client_has_left() and self.state.reading:
+            self._end_for_departed_client()
+            return
         for _ in range(LINES_PER_TURN):
             if not self.state.reading:
                 return
@@ -127,6 +133,20 @@
             self.transport.pauseProducing()
             self.next_read = self.listener.clock.callLater(0, self._read_lines)
 
+    def client_has_left(self) -> bool:
+        """Return whether the client has closed, also if lines from before that are unread."""
+        has_closed = getattr(self.transport, "peer_has_closed", None)
+        return has_closed is not None and has_closed()
+
+    def _end_for_departed_client(self) -> None:
+        """Take back what is open and discard the rest; nobody reads an answer."""
+        self.listener.counts[CloseReason.CLIENT_LEFT] += 1
+        self.state.end(CloseReason.CLIENT_LEFT)
+        self.lines.clear()
+        for answer in list(self.answers.values()):
+            answer.cancel()
+        self._abort()
+
     def _all_lines_read(self) -> None:
         self.state.input_read(self.listener.now(), self.lines.has_partial_line())
         if self.paused:
@@ -183,6 +203,7 @@
             request, request_class, tenant, remaining_ms, cost_ms, memory_mb, concurrency, load_ms
         )
         self.state.request_opened(number, request.request_id)
+        answer.client_has_left = self.client_has_left
         self.answers[number] = answer
         listener.open_requests[request.request_id] = self, number
         answer.addCallbacks(
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -11,6 +11,7 @@
 
 from twisted.internet import defer, interfaces, protocol
 
+from ..gateway.pending_requests import PendingAnswer
 from ..platform import client_answers
 from ..platform.client_answers import ClientLineError, ErrorCode
 from ..platform.client_codec import ClientMessageReader
@@ -23,7 +24,8 @@
 RESERVED_DIVISOR = 8  # one eighth of the bound on connections is kept free for new ones
 SHORTAGE_EVICTIONS = 8  # connections closed at once when the system itself has no descriptor left
 
-SubmitRequest = Callable[[OpaqueRequest, int, int, float, float, float, int, float], defer.Deferred]
+
+SubmitRequest = Callable[[OpaqueRequest, int, int, float, float, float, int, float], PendingAnswer]
 
 
 class ClientListener(protocol.ServerFactory):
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -45,6 +45,7 @@
     NO_CAPACITY = "no capacity for more connections"
     DRAINING = "front end draining"
     STOPPED = "front end stopped"
+    CLIENT_LEFT = "client left behind unread lines"
 
 
 class NumberUse(StrEnum):
--- a/petrelway/sockets/listening.py
+++ b/petrelway/sockets/listening.py
@@ -15,6 +15,8 @@
 
 from twisted.internet import defer, interfaces, main, tcp
 
+from .peer_close import peer_has_closed
+
 NOTHING_READY = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC})
 TRANSIENT_ERRORS = NOTHING_READY | SHORTAGES
@@ -67,6 +69,10 @@
 class ClientTransport(RetryingTransport, tcp.Server):
     """An accepted connection."""
 
+    def peer_has_closed(self) -> bool:
+        """Return whether the other side has closed, also while bytes from before that are unread."""
+        return self.connected and peer_has_closed(self.fileno())
+
 
 class Listener(tcp.Port):
     """A listening port that counts errors of `accept` and logs the first."""
--- a/tests/test_departed_peers.py
+++ b/tests/test_departed_peers.py
@@ -5,8 +5,10 @@
 
 import pytest
 from nodes import Client, node, until
+from test_client_connections import Rig
 
 from petrelway.fakes.platform_peers import Executor, Holder, record, request
+from petrelway.node.client_connection import LINES_PER_TURN
 
 PAUSE_S = 0.3  # longer than a client that has gone may still cost an attempt
 
@@ -93,3 +95,26 @@
             assert new.requests()
         finally:
             new.close()
+
+
+# -- in memory, in the order that is worst
+
+
+def closed_pipe(connection):
+    """The transport of a client whose close lies behind what it wrote."""
+    connection.transport.peer_has_closed = lambda: True
+
+
+@pytest.mark.parametrize("turns_before", [0, 1])
+def test_lines_behind_which_the_client_closed_are_not_read_in_any_turn(turns_before):
+    """A close noticed a turn late let eight more requests begin."""
+    rig = Rig()
+    client, pipe = rig.client()
+    data = b"".join(request(n, call=f"{n:016x}") for n in range(1, 31))
+    if not turns_before:
+        closed_pipe(client)
+    client.dataReceived(data)
+    closed_pipe(client)
+    rig.turns()
+    assert len(rig.submitted) == len(rig.cancelled) == turns_before * LINES_PER_TURN
+    assert pipe.aborted and not client.answers and not rig.listener.open_requests
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -265,8 +265,9 @@
 def test_a_waiting_attempt_is_sent_only_if_it_still_may():
     """An attempt that waits for its connection must be checked again before it is sent.
 
-    It was decided before its client left or before the executor began to drain."""
-    for what in ("client", "list", "nothing"):
+    It was decided before its client left or before the executor began to drain. The client's close may still
+    be unread then, as after a pause of the process."""
+    for what in ("client", "unread close", "list", "nothing"):
         rig = Rig(executors=1)
         rig.executors[0][0].pauseProducing()  # no buffer space: attempts wait
         serial, answer = rig.take()
@@ -274,6 +275,8 @@
         assert rig.sent() == []
         if what == "client":
             answer.cancel()
+        elif what == "unread close":
+            answer.client_has_left = lambda: True
         elif what == "list":
             rig.list_executors({0: "draining"})
         rig.executors[0][0].resumeProducing()  # in the same turn, before anything is decided again
