An id that was sent to an executor is refused when it comes again

Cause: an id was known only while its request was open. Evidence: each class, with cancels permitted and not: the same executor got the id twice. Change: node/recent_requests.py remembers ids of which an attempt was sent, in two generations of bounded size; such a request gets an error. One that was turned away without an attempt may come again under its id.

--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -483,6 +483,7 @@
         if not self._still_allowed(request, number, now):
             self.attempt_ended(executor, key, Outcome.UNSENT, 0, 0, codec.LoadReport(), "", b"")
             return
+        request.answer.was_sent = True
         wait_ms = min(limit_ms, remaining_ms) if limit_ms > 0.0 else remaining_ms
         attempt.timer = self.clock.callLater(wait_ms / 1e3, self._attempt_timed_out, request, number)
         function = request.function
--- a/petrelway/gateway/pending_requests.py
+++ b/petrelway/gateway/pending_requests.py
@@ -58,6 +58,7 @@
         `on_cancel` is the Deferred's canceller; `on_abandon` requests the final answer at once."""
         super().__init__(on_cancel)
         self._on_abandon = on_abandon
+        self.was_sent = False  # whether an attempt was made
         self.client_has_left: Callable[[], bool] = _unknown
 
     def abandon(self) -> None:
--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -224,6 +224,9 @@
             raise ClientLineError(
                 number, ErrorCode.INVALID_PARAMS, "call: open already", ends_connection=connection is self
             )
+        if request_id in self.listener.recent_ids:
+            self.listener.counts["ids sent before"] += 1
+            raise ClientLineError(number, ErrorCode.INVALID_PARAMS, "call: sent before")
 
     def _rejection_retry_ms(self, tenant: int) -> float | None:
         """Return the Retry-After time of a request that is rejected now, in ms; None to admit it."""
@@ -253,9 +256,11 @@
     # -- answers
 
     def _request_ended(self, number: int) -> None:
-        del self.answers[number]
+        answer = self.answers.pop(number)
         request_id = self.state.request_ended(number, self.listener.now())
         del self.listener.open_requests[request_id]
+        if answer.was_sent:
+            self.listener.recent_ids.add(request_id)
 
     def _answer_received(self, answer: Answer, number: int) -> None:
         self._request_ended(number)
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -18,12 +18,14 @@
 from ..platform.opaque_request import OpaqueRequest
 from .client_connection import ClientConnectionProtocol
 from .connection_state import CloseReason, Phase
+from .recent_requests import RecentRequestIds
 
 RECHECK_DELAY_MS = 20.0  # delay before a connection that seems timed out is checked again
 SWEEP_INTERVAL_MS = 250.0  # interval between two checks of all connections for timeouts
 RESERVED_DIVISOR = 8  # one eighth of the bound on connections is kept free for new ones
 SHORTAGE_EVICTIONS = 8  # connections closed at once when the system itself has no descriptor left
 
+DEFAULT_RECENT_IDS_BOUND = 8192  # in each of two generations; 1 MB
 
 SubmitRequest = Callable[[OpaqueRequest, int, int, float, float, float, int, float], PendingAnswer]
 
@@ -43,6 +45,7 @@
         log,
         connections_bound: int,
         unread_retry_ms: float = 0.0,
+        recent_ids_bound: int = DEFAULT_RECENT_IDS_BOUND,
     ) -> None:
         """Start without connections and schedule the first sweep.
 
@@ -62,6 +65,7 @@
         self.unread_retry_ms = unread_retry_ms
         self.connections: dict[ClientConnectionProtocol, None] = {}
         self.open_requests: dict[bytes, tuple[ClientConnectionProtocol, int]] = {}  # by request id
+        self.recent_ids = RecentRequestIds(recent_ids_bound)
         self.counts: Counter[str] = Counter()
         self.draining = False
         self.awaits_partial_lines = True  # a drain leaves time to the lines that have begun
--- a/tests/test_departed_peers.py
+++ b/tests/test_departed_peers.py
@@ -7,7 +7,8 @@
 from nodes import Client, node, until
 from test_client_connections import Rig
 
-from petrelway.fakes.platform_peers import Executor, Holder, record, request
+from petrelway.fakes.platform_peers import CALL, Executor, Holder, record, request
+from petrelway.gateway.answers import Answer, Completion
 from petrelway.node.client_connection import LINES_PER_TURN
 
 PAUSE_S = 0.3  # longer than a client that has gone may still cost an attempt
@@ -118,3 +119,16 @@
     rig.turns()
     assert len(rig.submitted) == len(rig.cancelled) == turns_before * LINES_PER_TURN
     assert pipe.aborted and not client.answers and not rig.listener.open_requests
+
+
+def test_ids_that_were_never_sent_may_come_again():
+    """A request that was turned away had no effect, and its id is no danger."""
+    rig = Rig()
+    client, _ = rig.client()
+    client.dataReceived(request(1, call=CALL))
+    rig.submitted[0][1].callback(Answer(Completion.REJECTED, 100.0))
+    client.dataReceived(request(2, call=CALL))
+    rig.submitted[1][1].was_sent = True
+    rig.submitted[1][1].callback(Answer(Completion.FAILED))
+    client.dataReceived(request(3, call=CALL))
+    assert len(rig.submitted) == 2 and rig.listener.counts["ids sent before"] == 1
