One memory budget from the settings' limit for all that clients and executors fill

Cause: bounds on a line, a connection and their number hold each alone, and their product is far over any limit; none of them knew the limit. Dropped executor connections kept partial answers in a reference cycle. Change: memory_plan.py divides the limit less the process at rest; buffer_pool.py charges received bytes, requests, answers, numbers, frames and partial answers; requests that do not fit are refused at once, reads wait for room (read_gate.py), what stalls is closed heaviest first (memory_relief.py); large blocks go back to the system.

--- a/petrelway/commands/node.py
+++ b/petrelway/commands/node.py
@@ -50,11 +50,14 @@
 
     from twisted.internet import error
 
+    from ..common.allocator import return_freed_blocks
     from ..common.process_clock import steady_reactor
+    from ..common.process_memory import ResidentMemory
     from ..gateway.garbage_collection import configure_collector
     from ..node.service import NodeService
     from ..sockets.starting import retry_while_short
 
+    return_freed_blocks()
     reactor = patiently(steady_reactor)
 
     def read() -> bytes:
@@ -69,6 +72,7 @@
     except (ProtocolError, OSError) as fault:
         _refuse(f"{file}: {fault}")
     log, _ = logs.start("json", "info", stream=sys.stdout, front_end=configuration.name)
+    memory = patiently(ResidentMemory)
     errors = logs.library_errors(log)
     errors.counts.update(reactor.failures)
     reactor.failures = errors.counts
@@ -82,6 +86,7 @@
         retry_transient_errors=patiently,
         library_errors=errors.counts,
         configured_ms=(LOADED_S - INTERPRETER_START_S) * 1e3,
+        resident_bytes=memory.read_bytes,
     )
     try:
         front.startService()
--- a/petrelway/fakes/platform_peers.py
+++ b/petrelway/fakes/platform_peers.py
@@ -232,6 +232,11 @@
         """Ids of the requests that arrived, in order."""
         return [id.hex() for code, id, _, _ in list(self.told) if code == 10]
 
+    def once(self) -> list[str]:
+        """Ids of the requests of the class `once` that arrived, in order."""
+        told = [(code, id, fields.get("class")) for code, id, fields, _ in list(self.told)]
+        return [id.hex() for code, id, name in told if code == 10 and name == "once"]
+
     def request_arrivals_s(self) -> list[float]:
         """When each request's first byte was read, by the monotonic clock."""
         return [at for at, told in zip(list(self.arrivals_s), list(self.told), strict=False) if told[0] == 10]
--- a/petrelway/gateway/outgoing_connections.py
+++ b/petrelway/gateway/outgoing_connections.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer, endpoints, error, interfaces, protocol, tcp
 from twisted.python.failure import Failure
 
-from ..sockets.listening import RetryingTransport
+from ..sockets.transports import RetryingTransport
 
 
 class _Transport(RetryingTransport, tcp.Client):
@@ -36,11 +36,10 @@
     def buildProtocol(self, address) -> protocol.Protocol:
         """Build the protocol, which fires the Deferred once it is connected."""
         made = self.build()
-        connected = made.connectionMade
 
         def connection_made() -> None:
-            made.connectionMade = connected
-            connected()
+            del made.connectionMade  # with an attribute of its own, it would refer to itself
+            made.connectionMade()
             if not self.done.called:
                 self.done.callback(made)
 
--- a/petrelway/node/admission.py
+++ b/petrelway/node/admission.py
@@ -67,6 +67,10 @@
         """
         return max(1.0, remaining_ms - self.lag_ms - WRITE_MARGIN_MS)
 
+    def bound_buffers(self, bound_bytes: int) -> None:
+        """Set the bound that the buffered bytes are compared with."""
+        self.shedder.buffered_bound = bound_bytes
+
     def lag_measured(self, lag_ms: float) -> None:
         """Add a sample to the average lag: how late a timer ran."""
         self.lag_ms += LAG_GAIN * (max(0.0, lag_ms) - self.lag_ms)
--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -19,17 +19,19 @@
 from ..platform.client_codec import LineBuffer
 from ..platform.opaque_request import OpaqueRequest
 from ..sockets.pending_input import read_pending
+from .buffer_pool import Use
 from .connection_state import OPEN_REQUESTS_BOUND, ClientConnectionState, CloseReason, NumberUse, Phase
 
 if TYPE_CHECKING:
     from .client_listener import ClientListener
 
+REQUEST_BYTES = 4000  # an open request with its attempts and timers, without its body
 LINES_PER_TURN = 8  # lines read from one connection before the other connections are served
 ABORT_TIMEOUT_MS = 2000.0  # a closed connection whose client does not read the last answers is aborted
 LINGER_BYTES = 1 << 20  # bytes read and discarded from a client whose input ended its connection
 BUFFER_BYTES = 1 << 18  # bytes of answers buffered for a client before it counts as not reading
 LINGERING_REASONS = frozenset(
-    {CloseReason.UNREADABLE, CloseReason.TOO_MANY_ERRORS, CloseReason.PARTIAL_LINE}
+    {CloseReason.UNREADABLE, CloseReason.TOO_MANY_ERRORS, CloseReason.PARTIAL_LINE, CloseReason.NO_MEMORY}
 )  # the client may still be sending
 
 
@@ -42,6 +44,8 @@
         self.lines = LineBuffer()
         self.state = ClientConnectionState(listener.now())
         self.answers: dict[int, PendingAnswer] = {}  # by request number
+        self.account = listener.buffers.account()
+        self.request_bytes: dict[int, int] = {}  # what an open request is charged, by its number
         self.paused = False  # not read from until the other connections have been served
         self.next_read = None  # the delayed call that continues reading
         self.abort_call = None  # the delayed call that aborts it, while it is closing
@@ -53,6 +57,9 @@
         """Register as the transport's producer and with the listener."""
         getattr(self.transport, "setTcpNoDelay", lambda _: None)(True)
         self.transport.bufferSize = BUFFER_BYTES
+        self.transport.read_gate = self.listener.read_gate
+        self.transport.on_buffered = self._answers_buffered
+        self.transport.holds_input = False
         self.transport.registerProducer(self, True)
         self.listener.connection_opened(self)
 
@@ -64,6 +71,7 @@
         self.lines.feed(data)
         if self.next_read is None:
             self._read_lines()
+        self._charge_received()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the open requests: the client no longer waits for them."""
@@ -79,6 +87,7 @@
             self.abort_call.cancel()
             self.abort_call = None
         self.lines.clear()
+        self.account.close()
         self.listener.connection_closed(self)
 
     def pauseProducing(self) -> None:
@@ -97,6 +106,11 @@
         """Note that the transport takes no more answers."""
         self.state.answers_unread(self.listener.now())
 
+    def _answers_buffered(self, count: int) -> None:
+        """Note how many bytes of answers the system has not taken yet."""
+        self.account.set(Use.ANSWERS, count)
+        self.state.answers_buffered(self.listener.now(), count)
+
     # -- reading
 
     def _discard(self, count: int) -> None:
@@ -108,6 +122,15 @@
         if self.discarded_bytes > LINGER_BYTES and self.state.phase is Phase.CLOSING:
             self._abort()
 
+    def _read_on(self) -> None:
+        self._read_lines()
+        self._charge_received()
+
+    def _charge_received(self) -> None:
+        held = len(self.lines)
+        self.account.set(Use.RECEIVED, held)
+        self.transport.holds_input = held > 0
+
     def _read_lines(self) -> None:
         """Read a few lines; the rest waits until the other connections have been served.
 
@@ -131,7 +154,7 @@
         if self.state.reading:
             self.paused = True
             self.transport.pauseProducing()
-            self.next_read = self.listener.clock.callLater(0, self._read_lines)
+            self.next_read = self.listener.clock.callLater(0, self._read_on)
 
     def client_has_left(self) -> bool:
         """Return whether the client has closed, also if lines from before that are unread."""
@@ -161,7 +184,7 @@
         if reason is not None:
             self.end(reason)
         else:
-            self.listener.reader.read(line, self)
+            self.listener.reader.read(line, self, self._rejects_for_memory)
 
     # -- messages of the client (platform.client_codec.ClientMessageHandler)
 
@@ -171,14 +194,30 @@
         The error is sent without a number: with this one it would be a second answer to the earlier request.
         """
         use = self.state.number_received(number)
+        self._charge_numbers()
         if use is not NumberUse.UNUSED:
             self._refuse_number(use)
 
+    def _charge_numbers(self) -> None:
+        """Charge what remembers the used numbers; forget the older ones if that is too much."""
+        numbers = self.state.used_numbers
+        self.account.set(Use.NUMBERS, numbers.size_bytes())
+        if not self.account.fits(0) and numbers.forget_older():
+            self.account.set(Use.NUMBERS, numbers.size_bytes())
+
     def _refuse_number(self, use: NumberUse) -> NoReturn:
         self.listener.counts[use] += 1
         text = "an id that was used on this connection"
         raise ClientLineError(None, ErrorCode.INVALID_REQUEST, text, ends_connection=True)
 
+    def _rejects_for_memory(self, number: int, body_bytes: int) -> bool:
+        """Reject a request that can't be held now, and return whether it was; it may come again later."""
+        if self.account.fits(REQUEST_BYTES + body_bytes):
+            return False
+        self.listener.rejected_for_memory()
+        self.transport.write(client_answers.rejection_line(number, self.listener.busy_retry_ms))
+        return True
+
     def request_received(
         self,
         number: int,
@@ -199,10 +238,13 @@
             listener.counts["rejected before admission"] += 1
             self.transport.write(client_answers.rejection_line(number, retry_ms))
             return
+        charge = REQUEST_BYTES + len(request)
         answer = listener.submit(
             request, request_class, tenant, remaining_ms, cost_ms, memory_mb, concurrency, load_ms
         )
         self.state.request_opened(number, request.request_id)
+        self.request_bytes[number] = charge
+        self.account.add(Use.REQUESTS, charge)
         answer.client_has_left = self.client_has_left
         self.answers[number] = answer
         listener.open_requests[request.request_id] = self, number
@@ -231,7 +273,7 @@
     def _rejection_retry_ms(self, tenant: int) -> float | None:
         """Return the Retry-After time of a request that is rejected now, in ms; None to admit it."""
         if self.state.unread_since_ms is not None:
-            return self.listener.unread_retry_ms  # no further work for a client that does not read answers
+            return self.listener.busy_retry_ms  # no further work for a client that does not read answers
         return self.listener.rejection_retry_ms(tenant)
 
     def cancel_received(self, number: int | None, request_id: bytes | None) -> None:
@@ -257,6 +299,7 @@
 
     def _request_ended(self, number: int) -> None:
         answer = self.answers.pop(number)
+        self.account.add(Use.REQUESTS, -self.request_bytes.pop(number))
         request_id = self.state.request_ended(number, self.listener.now())
         del self.listener.open_requests[request_id]
         if answer.was_sent:
@@ -309,6 +352,21 @@
         """Whether part of a further line was received."""
         return self.state.reading and self.lines.has_partial_line()
 
+    def stalled_byte_ms(self, now: float) -> float:
+        """Return how much it holds that does not move on, in bytes times ms."""
+        partial = self.account.held(Use.RECEIVED) if self.state.reading else 0
+        return self.state.stalled_byte_ms(now, partial, self.account.held(Use.ANSWERS))
+
+    def end_for_memory(self) -> None:
+        """Give back at once what is held for a client that does not move on."""
+        reads = not self.account.held(Use.ANSWERS)
+        if reads and self.state.reading:
+            error = ClientLineError(None, ErrorCode.REJECTED, CloseReason.NO_MEMORY)
+            self.transport.write(client_answers.error_line(error))
+        self.end(CloseReason.NO_MEMORY)
+        if not reads:
+            self._abort()
+
     def may_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed to free capacity for another one."""
         return self.next_read is None and self.state.may_be_evicted(now)
@@ -340,6 +398,7 @@
             self.transport.resumeProducing()  # to notice the client's close; other input is discarded
         abandons = self.state.end(reason)
         self.lines.clear()  # nothing of it is read any more, and the connection may stay for a while
+        self.account.set(Use.RECEIVED, 0)
         if abandons:
             for answer in list(self.answers.values()):
                 answer.abandon()
--- a/petrelway/node/client_listener.py
+++ b/petrelway/node/client_listener.py
@@ -16,8 +16,11 @@
 from ..platform.client_answers import ClientLineError, ErrorCode
 from ..platform.client_codec import ClientMessageReader
 from ..platform.opaque_request import OpaqueRequest
+from ..sockets.read_gate import ReadGate
+from .buffer_pool import DEFAULT_BUFFERS_BYTES, BufferPool, Use
 from .client_connection import ClientConnectionProtocol
 from .connection_state import CloseReason, Phase
+from .memory_relief import ClientMemoryRelief
 from .recent_requests import RecentRequestIds
 
 RECHECK_DELAY_MS = 20.0  # delay before a connection that seems timed out is checked again
@@ -27,6 +30,8 @@
 
 DEFAULT_RECENT_IDS_BOUND = 8192  # in each of two generations; 1 MB
 
+RECEIVED_SHARE = 0.3  # of the buffers, that may hold bytes which are no message yet
+
 SubmitRequest = Callable[[OpaqueRequest, int, int, float, float, float, int, float], PendingAnswer]
 
 
@@ -44,14 +49,15 @@
         clock: interfaces.IReactorTime,
         log,
         connections_bound: int,
-        unread_retry_ms: float = 0.0,
+        busy_retry_ms: float = 0.0,
+        buffers: BufferPool | None = None,
         recent_ids_bound: int = DEFAULT_RECENT_IDS_BOUND,
     ) -> None:
         """Start without connections and schedule the first sweep.
 
         `submit` receives the valid requests. `rejection_retry_ms` returns None to admit a tenant's request,
-        else the Retry-After time of its rejection; `unread_retry_ms` is the Retry-After time of a client that
-        does not read its answers.
+        else the Retry-After time of its rejection; `busy_retry_ms` is the Retry-After time where a client
+        does not read its answers, or `buffers` has no room for a request.
         """
         self.reader = reader
         self.submit = submit
@@ -59,10 +65,12 @@
         self.is_serving = is_serving
         self.clock = clock
         self.log = log
-        self.connections_bound = connections_bound
-        self.eviction_threshold = connections_bound - connections_bound // RESERVED_DIVISOR
+        self.bound_connections(connections_bound)
         self.evictions_wanted = 0
-        self.unread_retry_ms = unread_retry_ms
+        self.busy_retry_ms = busy_retry_ms
+        self.buffers = buffers if buffers is not None else BufferPool(DEFAULT_BUFFERS_BYTES)
+        self.read_gate = ReadGate(clock, self._receivable_bytes)
+        self.relief = ClientMemoryRelief(self)
         self.connections: dict[ClientConnectionProtocol, None] = {}
         self.open_requests: dict[bytes, tuple[ClientConnectionProtocol, int]] = {}  # by request id
         self.recent_ids = RecentRequestIds(recent_ids_bound)
@@ -74,6 +82,11 @@
         self.logged_once: set[tuple[str, str]] = set()  # event and kind
         self.sweep_call = clock.callLater(SWEEP_INTERVAL_MS / 1e3, self._sweep)
 
+    def bound_connections(self, bound: int) -> None:
+        """Set how many connections may be open; near that, idle ones are closed."""
+        self.connections_bound = bound
+        self.eviction_threshold = bound - bound // RESERVED_DIVISOR
+
     def now(self) -> float:
         """Return the reactor's time in ms."""
         return self.clock.seconds() * 1e3
@@ -140,9 +153,25 @@
         return {
             "client connections": len(self.connections),
             "closing client connections": sum(c.state.phase is Phase.CLOSING for c in self.connections),
-            "received, bytes": sum(len(c.lines.buffered) for c in self.connections),
+            "request ids": len(self.recent_ids),
         }
 
+    def _receivable_bytes(self) -> int:
+        """Return how many bytes more may be read from clients now."""
+        bound = int(RECEIVED_SHARE * self.buffers.bound_bytes)
+        return bound - self.buffers.by_use[Use.RECEIVED]
+
+    def read_shortage_bytes(self) -> int:
+        """Return how many received bytes are to be given back while connections wait to be read."""
+        if not len(self.read_gate):
+            return 0
+        return self.buffers.by_use[Use.RECEIVED] // 2
+
+    def rejected_for_memory(self) -> None:
+        """Count a request for which there is no memory, and log the first."""
+        self.counts["rejected for memory"] += 1
+        self.warn_once("requests rejected for memory", **self.buffers.figures())
+
     # -- log
 
     def line_rejected(self, error: ClientLineError) -> None:
@@ -225,6 +254,8 @@
     def close(self) -> None:
         """End all connections and cancel the timers."""
         self.sweep_call.cancel()
+        self.read_gate.close()
+        self.relief.close()
         if self.eviction_call is not None:
             self.eviction_call.cancel()
         for connection in list(self.connections):
--- a/petrelway/node/connection_set.py
+++ b/petrelway/node/connection_set.py
@@ -19,6 +19,8 @@
 from ..gateway.backoff import Backoff
 from ..gateway.channel_base import WRITE_STALL_TIMEOUT_MS, ChannelListener, SocketChannelReports
 from ..gateway.connection_end_reasons import EndReason, failure_reason
+from ..sockets.read_gate import ReadGate
+from .buffer_pool import DEFAULT_BUFFERS_BYTES, BufferPool
 from .executor_connection import ExecutorConnectionProtocol
 
 SWEEP_INTERVAL_MS = 250.0  # interval between two checks of the connections
@@ -39,10 +41,17 @@
 class ConnectionBudget:
     """The bound on connections to executors over all pools, and the counters of what happened on them."""
 
-    def __init__(self, bound: int) -> None:
-        """Start with no connection; `bound` is the maximum over all pools."""
+    def __init__(
+        self, bound: int, buffers: BufferPool | None = None, read_gate: ReadGate | None = None
+    ) -> None:
+        """Start with no connection; `bound` is the maximum over all pools.
+
+        `buffers` is charged for what is buffered on them, and `read_gate` is asked before they are read.
+        """
         self.bound = bound
         self.used = 0
+        self.buffers = buffers if buffers is not None else BufferPool(DEFAULT_BUFFERS_BYTES)
+        self.read_gate = read_gate
         self.counts: Counter[str] = Counter()
 
     def has_capacity(self) -> bool:
@@ -169,6 +178,8 @@
         connection.up = False
         self._count_drop(connection, reason)
         connection.cancel_partial_answer_timer()
+        connection.reader.clear()
+        connection.account.close()
         if connection.connect_attempt is not None:
             attempt = connection.connect_attempt
             connection.connect_attempt = None
@@ -214,10 +225,6 @@
         for connection in list(self.connections):
             self.drop(connection, EndReason.LEAVING)
 
-    def partial_answer_bytes(self) -> int:
-        """Return how many bytes of answers that are not complete yet are buffered."""
-        return sum(len(connection.reader.buffered) for connection in self.connections)
-
     # -- the sweep
 
     def _sweep(self) -> None:
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -20,6 +20,7 @@
 PARTIAL_LINE_TIMEOUT_MS = 2000.0  # for one line, from its first byte to its end
 IDLE_TIMEOUT_MS = 5000.0  # for a connection without an open request; the clients' own timeout is shorter
 UNREAD_TIMEOUT_MS = 2000.0  # for a connection whose client does not read its answers
+STALL_MIN_AGE_MS = 100.0  # a line or an answer that began within this time moves on
 EVICTION_MIN_AGE_MS = 100.0  # a connection active within this time is not closed to free capacity
 PARTIAL_LINE_EVICTION_AGE_MS = 1000.0  # nor one whose line began within this time: TCP sends lost bytes again
 
@@ -45,6 +46,7 @@
     NO_CAPACITY = "no capacity for more connections"
     DRAINING = "front end draining"
     STOPPED = "front end stopped"
+    NO_MEMORY = "no memory for what it holds"
     CLIENT_LEFT = "client left behind unread lines"
 
 
@@ -70,6 +72,7 @@
         self.last_activity_ms = now  # time of the last complete line or answer, or of the start
         self.partial_line_since_ms: float | None = None  # first byte of the line that is not complete yet
         self.unread_since_ms: float | None = None  # time since which the client does not read answers
+        self.buffered_since_ms: float | None = None  # time since which the system does not take all answers
         self.closing_since_ms = now  # time since which the phase is CLOSING
         self.unread_lines = 0  # lines received while answers are not read
 
@@ -133,6 +136,13 @@
         """Note that the client reads its answers again."""
         self.unread_since_ms = None
 
+    def answers_buffered(self, now: float, count: int) -> None:
+        """Note how many bytes of answers the system has not taken."""
+        if not count:
+            self.buffered_since_ms = None
+        elif self.buffered_since_ms is None:
+            self.buffered_since_ms = now
+
     def end(self, reason: CloseReason) -> bool:
         """Begin to close; return whether open requests have to be abandoned first."""
         if self.phase is not Phase.READING:
@@ -185,6 +195,20 @@
             return None
         return CloseReason.IDLE if self.received_line else CloseReason.SILENT
 
+    def stalled_byte_ms(self, now: float, partial_line_bytes: int, answer_bytes: int) -> float:
+        """Return bytes times ms of a partial line and of answers that the client does not read.
+
+        What came within STALL_MIN_AGE_MS counts as moving on.
+        """
+        found = 0.0
+        for since_ms, count in (
+            (self.partial_line_since_ms, partial_line_bytes),
+            (self.buffered_since_ms, answer_bytes),
+        ):
+            if since_ms is not None and now - since_ms >= STALL_MIN_AGE_MS:
+                found += (now - since_ms) * count
+        return found
+
     def may_be_evicted(self, now: float) -> bool:
         """Whether the connection may be closed to free capacity for another one."""
         if not self.reading or self.open_requests:
--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -12,17 +12,19 @@
 from twisted.python.failure import Failure
 
 from ..gateway.attempt_ledger import AttemptKey, AttemptLedger
-from ..gateway.channel_base import BUFFER_BYTES, NO_LOAD, QuestionKind
+from ..gateway.channel_base import NO_LOAD, QuestionKind
 from ..gateway.connection_end_reasons import EndReason, failure_reason
 from ..platform import executor_codec
 from ..platform.errors import ProtocolError
 from ..platform.opaque_request import OpaqueRequest
 from ..routing.types import Outcome, Warmth
 from ..sockets.pending_input import READS_BOUND, read_pending
+from .buffer_pool import Use
 
 if TYPE_CHECKING:
     from .connection_set import ConnectionSet
 
+WRITE_BUFFER_BYTES = 1 << 16  # bytes that wait to be sent, at which nothing more is written
 PARTIAL_ANSWER_TIMEOUT_MS = 300.0  # a connection is dropped after this without a byte of an incomplete answer
 ANSWER_TIMEOUT_MS = 2000.0  # for one answer, from its first byte to its end
 RECHECK_DELAY_MS = 20.0  # delay before an answer that seems stuck is checked again
@@ -48,6 +50,7 @@
         self.open_attempts: dict[bytes, AttemptKey] = {}  # waiting or in flight, by request id
         self.questions: dict[bytes, PendingQuestion] = {}  # in flight, by the id on the wire
         self.abandoned_ids: dict[bytes, None] = {}  # ordered; not to be used on this connection again
+        self.account = pool.budget.buffers.account()
         self.up = False
         self.paused = False  # the transport's buffer is full
         self.retiring = False  # takes nothing new, and ends when nothing is in flight on it any more
@@ -69,7 +72,9 @@
             self.transport.abortConnection()
             return
         getattr(self.transport, "setTcpNoDelay", lambda _: None)(True)
-        self.transport.bufferSize = BUFFER_BYTES
+        self.transport.bufferSize = WRITE_BUFFER_BYTES
+        self.transport.read_gate = self.pool.budget.read_gate
+        self.transport.on_buffered = self._frames_buffered
         self.transport.registerProducer(self, True)
         self.up = True
         self.connect_attempt = None
@@ -95,6 +100,7 @@
             return
         if self.dropped:
             return
+        self.account.set(Use.PARTIAL_ANSWERS, len(self.reader.buffered))
         self._restart_partial_answer_timer()
         self.end_if_retired()
 
@@ -118,6 +124,11 @@
         """Note that the transport accepts no more data."""
         self.paused = True
 
+    def _frames_buffered(self, count: int) -> None:
+        """Note how many bytes of frames the system has not taken yet."""
+        if not self.dropped:
+            self.account.set(Use.FRAMES, count)
+
     def _restart_partial_answer_timer(self) -> None:
         """Wait for the next byte of an incomplete answer; past its bound, no byte postpones its end."""
         if not self.reader.has_partial_frame():
--- a/petrelway/node/memory_watch.py
+++ b/petrelway/node/memory_watch.py
@@ -1,7 +1,8 @@
-"""Compares the process's resident memory with its limit, and logs what it is used for when it comes near.
+"""Compares the process's resident memory with its limit, and bounds the buffers by what is left of it.
 
-`service.py` calls `measured` each time it measures its load. Sizes in bytes, in the log in MB of 10^6 bytes,
-the smaller reading of the limit.
+`service.py` calls `measured` each time it measures its load. What the process holds beyond its accounts, such
+as memory that the allocator keeps, is taken off the buffers' bound once it is more than the plan reserves.
+Near the limit the log tells what holds memory. Sizes in bytes, in the log in MB of 10^6 bytes.
 """
 
 from __future__ import annotations
@@ -9,9 +10,14 @@
 from collections import Counter
 from collections.abc import Callable
 
+from .buffer_pool import BufferPool
+from .memory_plan import MemoryPlan
+
 BYTES_PER_MB = 1_000_000
-HIGH_SHARE = 0.9  # of the limit, from which memory counts as short ...
-LOW_SHARE = 0.85  # ... and under which it counts as sufficient again
+# Parts of what the limit leaves beside the process at rest: in use from which memory counts as short, and
+# under which it counts as sufficient again.
+HIGH_SHARE = 0.8
+LOW_SHARE = 0.7
 
 
 class MemoryWatch:
@@ -19,28 +25,31 @@
 
     def __init__(
         self,
-        limit_bytes: float,
+        plan: MemoryPlan,
         read_bytes: Callable[[], int],
+        buffers: BufferPool,
         uses: Callable[[], dict[str, int]],
         log,
     ) -> None:
-        """Measure for the first time; `uses` returns what holds memory, by name, and is called rarely."""
-        self.limit_bytes = limit_bytes
+        """Start with the plan's figure; `uses` returns what holds memory, by name, and is called rarely."""
+        self.plan = plan
         self.read_bytes = read_bytes
+        self.buffers = buffers
         self.uses = uses
         self.log = log
         self.counts: Counter[str] = Counter()
-        self.start_bytes = read_bytes()
-        self.now_bytes = self.start_bytes
-        self.peak_bytes = self.start_bytes  # of the measurements; the system may have seen more between two
+        self.now_bytes = plan.resting_bytes
+        self.peak_bytes = plan.resting_bytes  # of the measurements; the system may have seen more between two
         self.is_short = False
 
     def measured(self) -> None:
-        """Measure, and log once when memory becomes short and once when it is sufficient again."""
+        """Measure, bound the buffers, and log once when memory becomes short or sufficient."""
         self.now_bytes = self.read_bytes()
         self.peak_bytes = max(self.peak_bytes, self.now_bytes)
-        bound = (LOW_SHARE if self.is_short else HIGH_SHARE) * self.limit_bytes
-        if (self.now_bytes > bound) is self.is_short:
+        spare = max(0, self.plan.limit_bytes - self.plan.resting_bytes)
+        grown = max(0, self.now_bytes - self.plan.resting_bytes)
+        self.buffers.reduce_bound(grown - self.buffers.used_bytes - (spare - self.buffers.planned_bytes))
+        if (grown > (LOW_SHARE if self.is_short else HIGH_SHARE) * spare) is self.is_short:
             return
         self.is_short = not self.is_short
         if self.is_short:
@@ -52,8 +61,8 @@
     def figures(self) -> dict[str, float]:
         """Return the measured sizes in MB, for the log."""
         sizes = {
-            "limit_mb": self.limit_bytes,
-            "start_mb": self.start_bytes,
+            "limit_mb": self.plan.limit_bytes,
+            "start_mb": self.plan.resting_bytes,
             "now_mb": self.now_bytes,
             "peak_mb": self.peak_bytes,
         }
--- a/petrelway/node/recent_requests.py
+++ b/petrelway/node/recent_requests.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-REQUEST_ID_BYTES = 128  # one id in memory: an object of 8 bytes, and its place in a set
-
 
 class RecentRequestIds:
     """Two generations of ids: when the recent one is full it becomes the older one, which is forgotten.
@@ -22,8 +20,8 @@
     """
 
     def __init__(self, bound: int) -> None:
-        """Start empty; `bound` is the number of ids in each generation, at least 1."""
-        self._bound = max(1, bound)
+        """Start empty; `bound` is the number of ids in each generation."""
+        self.bound = bound
         self._recent: set[bytes] = set()
         self._older: set[bytes] = set()
         self.forgotten = 0
@@ -37,7 +35,7 @@
     def add(self, request_id: bytes) -> None:
         """Remember an id."""
         self._recent.add(request_id)
-        if len(self._recent) >= self._bound:
+        if len(self._recent) >= self.bound:
             self.forgotten += len(self._older)
             self._older = self._recent
             self._recent = set()
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -10,35 +10,38 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.application import service
 from twisted.internet import defer, interfaces
 
 from ..common.endpoint_entry import EndpointEntry
-from ..common.process_memory import ResidentMemory
 from ..daemon.shedding import Shedder
 from ..gateway.dispatcher import Dispatcher
 from ..gateway.function_spec import FunctionSpec
 from ..gateway.outgoing_connections import connector
 from ..gateway.pending_requests import PendingAnswer
-from ..membership.service import MembershipService
 from ..platform.client_codec import ClientMessageReader
 from ..platform.configuration import Configuration, Endpoint
 from ..platform.opaque_request import OpaqueRequest
 from ..routing.types import Idempotency
 from ..sockets.descriptors import available_descriptors
 from ..sockets.listening import listen_tcp
+from ..sockets.read_gate import ReadGate
 from .address_owners import AddressOwners
 from .admission import AdmissionControl, DescriptorShares, share_descriptors
+from .buffer_pool import DEFAULT_BUFFERS_BYTES, BufferPool
 from .client_listener import ClientListener
 from .configuration_reload import ConfigurationReloader
 from .connection_set import ConnectionBudget
 from .discovery import DiscoveryClient
 from .executor_pool import ExecutorPool
 from .lifecycle import GracefulShutdown
+from .memory_plan import plan_memory
 from .memory_watch import BYTES_PER_MB, MemoryWatch
-from .peers import start_membership
+
+if TYPE_CHECKING:
+    from ..membership.service import MembershipService
 
 BACKLOG = 512  # listen backlog: connections that wait in the system's queue to be accepted
 DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
@@ -46,7 +49,7 @@
 # The shedder's pressure is 1 as soon as one of these three bounds is reached.
 LAG_BOUND_MS = 300.0  # lag of the process
 OPEN_REQUESTS_BOUND = 4000
-BUFFERED_BYTES_BOUND = 8 << 20
+ASSUMED_RESTING_BYTES = 48_000_000  # of a process whose resident memory can't be read
 
 
 class NodeService(service.Service):
@@ -64,6 +67,7 @@
         retry_transient_errors: Callable[[Callable], Any] = lambda make: make(),
         library_errors: Counter[str] | None = None,
         configured_ms: float | None = None,
+        resident_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         """Set up a front end that is not started yet.
 
@@ -71,7 +75,8 @@
         ends, where the settings permit it. `unix_ahead_s` returns how far the wall clock has been stepped
         ahead of the reactor's. `retry_transient_errors` calls its argument, and calls it again as long as the
         system fails it with a transient error. `configured_ms`: the latest time at which the
-        configuration's initial events can have been complete; the present, if not given.
+        configuration's initial events can have been complete; the present, if not given. `resident_bytes`
+        returns the resident memory of the process, 0 if that is unknown.
         """
         self.reactor = reactor
         self.configuration = configuration
@@ -88,6 +93,7 @@
         self.membership: MembershipService | None = None
         self.unix_ahead_s = unix_ahead_s
         self.retry_transient_errors = retry_transient_errors
+        self.resident_bytes = resident_bytes
         self.library_errors = library_errors if library_errors is not None else Counter()
         self.reloader = ConfigurationReloader(
             reactor, log, configuration, read, self._use_event_bus, lambda: self.stopping
@@ -109,19 +115,15 @@
         random_source = random.Random(f"{configuration.seed}/{configuration.name}/node")
         sockets = available_descriptors(configuration.sockets)
         shares = share_descriptors(sockets)
-        self.connection_budget = ConnectionBudget(shares.executors)
+        self.buffers = BufferPool(DEFAULT_BUFFERS_BYTES)  # until the plan is made
+        self.executor_gate = ReadGate(self.reactor, self.buffers.free_bytes)
+        self.connection_budget = ConnectionBudget(shares.executors, self.buffers, self.executor_gate)
         self.dispatcher = self._make_dispatcher(random_source)
         self.admission = self._make_admission(sockets, random_source)
         self.client_listener = self._make_client_listener(shares)
         self.discovery = self._make_discovery(random_source)
         self.discovery.start(configuration.initial_events, self.configured_ms)
-        self.resident_memory = ResidentMemory()
-        self.memory_watch = MemoryWatch(
-            configuration.memory_mb * BYTES_PER_MB,
-            self.resident_memory.read_bytes,
-            self.memory_uses,
-            self.log,
-        )
+        self.memory_watch = self._make_memory_watch(shares)
         self._measure_load(self.now())
         self.port = self.retry_transient_errors(self._listen)
         self.join_peers()
@@ -136,6 +138,26 @@
             resident_mb=self.memory_watch.figures()["start_mb"],
         )
 
+    def _make_memory_watch(self, shares: DescriptorShares) -> MemoryWatch:
+        """Divide the memory limit, now that the first list is in place, and set the bounds that follow."""
+        limit_bytes = int(self.configuration.memory_mb * BYTES_PER_MB)
+        resting_bytes = self.resident_bytes() or ASSUMED_RESTING_BYTES
+        plan = plan_memory(limit_bytes, resting_bytes, shares.clients, shares.executors)
+        self.buffers.plan(plan.buffers_bytes)
+        self.buffers.on_release = self._buffers_released
+        self.connection_budget.bound = plan.executor_connections
+        self.client_listener.bound_connections(plan.client_connections)
+        self.client_listener.recent_ids.bound = plan.request_ids
+        self.admission.bound_buffers(plan.buffers_bytes)
+        self.log.info("memory divided", **plan._asdict())
+        if plan.cut:
+            self.log.warning("memory limit too small for the descriptors", cut=plan.cut)
+        return MemoryWatch(plan, self.resident_bytes, self.buffers, self.memory_uses, self.log)
+
+    def _buffers_released(self) -> None:
+        self.executor_gate.room_given_back()
+        self.client_listener.read_gate.room_given_back()
+
     def _make_dispatcher(self, random_source: random.Random) -> Dispatcher:
         configuration = self.configuration
         terms = configuration.terms
@@ -162,7 +184,7 @@
             [tenant.portion for tenant in terms.tenants],
             LAG_BOUND_MS,
             OPEN_REQUESTS_BOUND,
-            BUFFERED_BYTES_BOUND,
+            DEFAULT_BUFFERS_BYTES,
             sockets,
             random_source,
         )
@@ -183,6 +205,7 @@
             self.log,
             shares.clients,
             self.admission.draining_retry_ms,
+            self.buffers,
         )
 
     def _make_discovery(self, random_source: random.Random) -> DiscoveryClient:
@@ -224,6 +247,8 @@
     def join_peers(self) -> None:
         """Join the other front ends, if the owner asks for it and the settings permit it."""
         if self.joins_peers:
+            from .peers import start_membership  # loaded on demand: few deployments permit peers
+
             self.membership = start_membership(self.reactor, self.configuration, self.read, self.log)
 
     # -- the endpoint list
@@ -295,7 +320,7 @@
         if self.port is not None:
             self._report_list_validity(now)
         connections = len(self.client_listener.connections)
-        self.admission.load_measured(dispatcher.unanswered, dispatcher.unanswered_bytes, connections)
+        self.admission.load_measured(dispatcher.unanswered, self.buffers.used_bytes, connections)
         next_due_ms = now + LOAD_INTERVAL_MS
         self.load_call = self.reactor.callLater(LOAD_INTERVAL_MS / 1e3, self._measure_load, next_due_ms)
 
@@ -353,18 +378,17 @@
             self.membership.stopService()
         self.client_listener.close()
         self.dispatcher.close()
-        self.resident_memory.close()
+        self.executor_gate.close()
 
     def memory_uses(self) -> dict[str, int]:
         """Return what holds memory: bytes by what they are for, and numbers of objects."""
-        pools = self.dispatcher.channels.values()
         return {
             **self.client_listener.memory_uses(),
             "requests": len(self.dispatcher.pending),
             "bodies of open requests, bytes": self.dispatcher.unanswered_bytes,
             "functions": len(self.dispatcher.known_functions),
             "executor connections": self.connection_budget.used,
-            "partial answers, bytes": sum(pool.partial_answer_bytes() for pool in pools),
+            **{f"buffers, {use}, bytes": held for use, held in self.buffers.figures().items()},
         }
 
     def figures(self) -> dict[str, dict[str, float]]:
@@ -381,4 +405,9 @@
             "configurations": dict(sorted(self.reloader.counts.items())),
             "members": self.membership.figures() if self.membership is not None else {},
             "memory": {**self.memory_watch.figures(), **self.memory_watch.counts},
+            "buffers": self.buffers.figures(),
+            "read gates": {
+                "clients": self.client_listener.read_gate.waits,
+                "executors": self.executor_gate.waits,
+            },
         }
--- a/petrelway/node/used_numbers.py
+++ b/petrelway/node/used_numbers.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 UNSIGNED_64 = "Q"  # array type code; numbers are below 2 ** 53
+SPAN_BYTES = 18  # two numbers of 8 bytes, and an eighth that an array keeps free
 SPANS_PER_GENERATION = 1024  # 16 KiB; at least as many of the latest numbers are remembered
 
 
@@ -116,6 +117,19 @@
         """Return how many spans are remembered."""
         return len(self._recent) + len(self._older)
 
+    def size_bytes(self) -> int:
+        """Return how much memory the spans take, with what their arrays keep free."""
+        return SPAN_BYTES * len(self)
+
+    def forget_older(self) -> bool:
+        """Forget the numbers used longest ago; return whether there were any."""
+        if not len(self._older):
+            self._older, self._recent = self._recent, self._older
+        count = len(self._older)
+        self.forgotten_spans += count
+        self._older = NumberSpans()
+        return count > 0
+
     def add(self, number: int) -> bool:
         """Remember a number; return False if it is remembered as used, and never for an unused one."""
         if number > self._highest:
--- a/petrelway/platform/client_codec.py
+++ b/petrelway/platform/client_codec.py
@@ -11,6 +11,7 @@
 import re
 from binascii import Error as Base64Error
 from binascii import a2b_base64
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 import msgspec
@@ -77,42 +78,61 @@
         self.bound = bound
         self.buffered = bytearray()
         self.start = 0  # offset of the first line that was not returned yet
+        self.searched = 0  # offset up to which no end of that line was found
+
+    def __len__(self) -> int:
+        """Return how many bytes are held."""
+        return len(self.buffered)
 
     def feed(self, data: bytes) -> None:
         """Append received bytes."""
-        if self.start:
-            del self.buffered[: self.start]
-            self.start = 0
+        self._compact()
         self.buffered += data
 
+    def _compact(self) -> None:
+        """Give back the bytes of the lines that were returned."""
+        if not self.start:
+            return
+        self.buffered = self.buffered[self.start :]
+        self.searched -= self.start
+        self.start = 0
+
     def clear(self) -> None:
         """Discard all that is buffered, and give its memory back."""
         self.buffered = bytearray()
         self.start = 0
+        self.searched = 0
 
     def next_line(self) -> bytes | None:
         """Return the next complete line, or None.
 
         Raises ClientLineError if a line, complete or not, is longer than the bound.
         """
-        end = self.buffered.find(b"\n", self.start)
+        end = self.buffered.find(b"\n", self.searched)
         if (end if end >= 0 else len(self.buffered)) - self.start > self.bound:
             raise _fatal_line_error(f"a line over {self.bound} bytes")
         if end < 0:
+            self.searched = len(self.buffered)
+            self._compact()
             return None
-        line = bytes(self.buffered[self.start : end])
+        line = bytes(memoryview(self.buffered)[self.start : end])
         self.start = end + 1
+        self.searched = self.start
         return line[:-1] if line.endswith(b"\r") else line
 
     def has_complete_line(self) -> bool:
         """Whether a complete line is buffered."""
-        return self.buffered.find(b"\n", self.start) >= 0
+        return self.buffered.find(b"\n", self.searched) >= 0
 
     def has_partial_line(self) -> bool:
         """Whether bytes are buffered that were not returned yet."""
         return len(self.buffered) > self.start
 
 
+def _never(number: int, body_bytes: int) -> bool:
+    return False
+
+
 class RequestClassEntry(NamedTuple):
     """What the reader needs to know of a request class; looked up by the class's name."""
 
@@ -143,8 +163,17 @@
         }
         self.tenants = {name: index for index, name in enumerate(tenants)}
 
-    def read(self, line: bytes, handler: ClientMessageHandler) -> None:
-        """Decode one line and call the handler. Raises ClientLineError."""
+    def read(
+        self,
+        line: bytes,
+        handler: ClientMessageHandler,
+        rejects_for_memory: Callable[[int, int], bool] = _never,
+    ) -> None:
+        """Decode one line and call the handler. Raises ClientLineError.
+
+        `rejects_for_memory` is asked with a request's number and the most bytes that its body can have. It is
+        asked before the body is decoded, which takes most of the time; True: it has rejected the request.
+        """
         message = _decode_message(line)
         method = message.get("method")
         number = message.get("id")
@@ -167,7 +196,7 @@
         request_class = self.request_classes.get(method)
         if request_class is None:
             raise ClientLineError(number, ErrorCode.METHOD_NOT_FOUND, "no such class")
-        self._read_request(number, method, request_class, params, handler)
+        self._read_request(number, method, request_class, params, handler, rejects_for_memory)
 
     def _read_request(
         self,
@@ -176,6 +205,7 @@
         request_class: RequestClassEntry,
         params: dict[str, Any],
         handler: ClientMessageHandler,
+        rejects_for_memory: Callable[[int, int], bool],
     ) -> None:
         request_id = params.get("call")
         function = params.get("row")
@@ -191,6 +221,8 @@
         remaining_ms = _remaining_ms(number, params, request_class.deadline_ms)
         cost_ms = _amount(number, params, "work", 0.0, COST_BOUND_MS)
         hints = _extra_hints(number, params.get("extras"))
+        if rejects_for_memory(number, _body_bytes_bound(params)):
+            return
         body = _body(number, params)
         request = OpaqueRequest(bytes.fromhex(request_id), name, function, idempotency_key or "", body)
         handler.request_received(
@@ -263,6 +295,12 @@
     return float(amount)
 
 
+def _body_bytes_bound(params: dict[str, Any]) -> int:
+    """Return the number of bytes that a body in base64 has at most."""
+    text = params.get("bytes")
+    return len(text) * 3 // 4 if type(text) is str else 0
+
+
 def _body(number: int, params: dict[str, Any]) -> bytes:
     text = params.get("bytes", "")
     if type(text) is not str:
--- a/petrelway/platform/executor_codec.py
+++ b/petrelway/platform/executor_codec.py
@@ -105,11 +105,16 @@
         """Start empty; `handler` receives the answers."""
         self.handler = handler
         self.buffered = bytearray()
+        self.needed = 0  # bytes without which the buffered frame is not complete
 
     def has_partial_frame(self) -> bool:
         """Whether part of an answer is buffered."""
         return bool(self.buffered)
 
+    def clear(self) -> None:
+        """Discard what is buffered, and give its memory back."""
+        self.buffered = bytearray()
+
     def feed(self, data: bytes) -> None:
         """Append received bytes and decode the complete answers.
 
@@ -118,8 +123,11 @@
         """
         if self.buffered:
             self.buffered += data
+            if len(self.buffered) < self.needed:
+                return
             data = bytes(self.buffered)
-            self.buffered.clear()
+            self.buffered = bytearray()
+        self.needed = HEADER.size
         start = 0
         size = len(data)
         while size - start >= HEADER.size:
@@ -129,6 +137,7 @@
             body_start = fields_start + fields_size
             body_end = body_start + body_size
             if size < body_end + CHECKSUM.size:
+                self.needed = body_end + CHECKSUM.size - start
                 break
             fields = data[fields_start:body_start]
             body = data[body_start:body_end]
--- a/petrelway/sockets/datagrams.py
+++ b/petrelway/sockets/datagrams.py
@@ -9,7 +9,8 @@
 
 from twisted.internet import interfaces, udp
 
-from .listening import NOTHING_READY, error_name
+from .listening import error_name
+from .transports import NOTHING_READY
 
 
 class DatagramPort(udp.Port):
--- a/petrelway/sockets/listening.py
+++ b/petrelway/sockets/listening.py
@@ -13,13 +13,10 @@
 from collections import Counter
 from typing import Protocol
 
-from twisted.internet import defer, interfaces, main, tcp
+from twisted.internet import defer, interfaces, tcp
 
-from .peer_close import peer_has_closed
+from .transports import NOTHING_READY, SHORTAGES, RetryingTransport
 
-NOTHING_READY = frozenset({errno.EAGAIN, errno.EWOULDBLOCK})
-SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC})
-TRANSIENT_ERRORS = NOTHING_READY | SHORTAGES
 ACCEPTS_PER_TURN = 100  # after that many, the open connections are read
 SHORTAGE_PAUSE_MS = 5.0  # before accepting is tried again
 BACKLOG_TIMEOUT_MS = 1000.0  # how long a listener that is about to close accepts the backlog at most
@@ -44,35 +41,9 @@
     return errno.errorcode.get(number or 0, str(number))
 
 
-class RetryingTransport:
-    """A mixin for transports.
-
-    A `recv` or `send` that fails for lack of memory does not end the connection.
-    """
-
-    def doRead(self):
-        """Read once; after a transient error the read is retried when the poller next reports the socket."""
-        try:
-            data = self.socket.recv(self.bufferSize)
-        except OSError as error:
-            return None if error.errno in TRANSIENT_ERRORS else main.CONNECTION_LOST
-        return self._dataReceived(data)
-
-    def writeSomeData(self, data):
-        """Write once; a transient error counts as nothing written."""
-        try:
-            return self.socket.send(memoryview(data)[: self.SEND_LIMIT])
-        except OSError as error:
-            return 0 if error.errno in TRANSIENT_ERRORS else main.CONNECTION_LOST
-
-
 class ClientTransport(RetryingTransport, tcp.Server):
     """An accepted connection."""
 
-    def peer_has_closed(self) -> bool:
-        """Return whether the other side has closed, also while bytes from before that are unread."""
-        return self.connected and peer_has_closed(self.fileno())
-
 
 class Listener(tcp.Port):
     """A listening port that counts errors of `accept` and logs the first."""
--- a/petrelway/sockets/reactor.py
+++ b/petrelway/sockets/reactor.py
@@ -21,8 +21,8 @@
 
 from twisted.internet import epollreactor, error, interfaces, main, process
 
-from .listening import SHORTAGES
 from .signals import PendingSignals
+from .transports import SHORTAGES
 
 RETRY_DELAY_S = 0.005
 LONGEST_WAIT_S = 0.1  # bounds how late a signal is handled whose wake-up failed
--- a/petrelway/sockets/starting.py
+++ b/petrelway/sockets/starting.py
@@ -9,7 +9,8 @@
 
 from twisted.internet import error
 
-from .listening import SHORTAGES, error_name
+from .listening import error_name
+from .transports import SHORTAGES
 
 RETRY_PERIOD_S = 8.0  # nine in ten restarts have to be ready within 10 s
 RETRY_DELAY_S = 0.05
--- a/tests/test_memory_watch.py
+++ b/tests/test_memory_watch.py
@@ -3,14 +3,17 @@
 from doubles import Log
 
 from petrelway.common.process_memory import ResidentMemory
+from petrelway.node.buffer_pool import BufferPool
+from petrelway.node.memory_plan import plan_memory
 from petrelway.node.memory_watch import MemoryWatch
 
 
 def test_memory_near_the_limit_is_logged_once_an_episode_with_what_holds_it():
     """A process that is killed for memory says nothing more: what holds it must be in the log before."""
-    sizes = iter([50e6, 89e6, 91e6, 95e6, 88e6, 84e6, 92e6])
-    log = Log()
-    watch = MemoryWatch(100e6, lambda: next(sizes), lambda: {"requests": 7}, log)
+    sizes = iter([89e6, 91e6, 95e6, 88e6, 84e6, 92e6])
+    log, buffers = Log(), BufferPool(16_000_000)
+    plan = plan_memory(100_000_000, 50_000_000, 100, 100)
+    watch = MemoryWatch(plan, lambda: next(sizes), buffers, lambda: {"requests": 7}, log)
     for _ in range(6):
         watch.measured()
     events = [(event, fields["now_mb"], fields["uses"]) for event, fields in log.lines]
