Functions that clients name are bounded, unserved ones forgotten first

Cause: a function was kept for 60 s whatever became of its request; a cancelled request was searched for among all of the quota's window; its timers stayed until a deadline that the client words. Change: routing/function_order.py and Expiry.make_room_for_function, used where the host gives a bound; the quota's entries by number; timers of released requests dropped.

--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -193,6 +193,9 @@
 
     def _function_index(self, function: FunctionSpec, now: float) -> int:
         """Return the index of a function; a new function is announced to the routing core first."""
+        if function.name not in self.functions.indices:
+            self.front_end.make_room_for_function()
+            self._release()
         index, new = self.functions.add(function.name)
         if new:
             self.known_functions[index] = function
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -148,6 +148,7 @@
         self.connection_budget.bound = plan.executor_connections
         self.client_listener.bound_connections(plan.client_connections)
         self.client_listener.recent_ids.bound = plan.request_ids
+        self.dispatcher.front_end.functions_bound = plan.functions
         self.admission.bound_buffers(plan.buffers_bytes)
         self.log.info("memory divided", **plan._asdict())
         if plan.cut:
--- a/petrelway/routing/expiry.py
+++ b/petrelway/routing/expiry.py
@@ -5,12 +5,17 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 
 from .state import FrontEndState
 from .types import Stage
 
 EXPIRY_INTERVAL_MS = 1000.0  # interval at which stale state is dropped
+FORGET_TRIES = 8  # functions looked at for one to forget, of those served and of the others
+EXPIRY_TIMER = -1  # used in the timers instead of a request index
+TIMERS_KEPT = 1024  # timers that may wait beside those of requests
+TIMERS_PER_REQUEST = 8
 FORGET_FUNCTION_MS = 60000.0  # a function not in use for this long is forgotten
 
 
@@ -35,13 +40,50 @@
         for index in gone:
             executor = self.executors[index]
             self._remove_skills(executor, *map(self.functions.__getitem__, executor.resume))
+            for function in tuple(executor.load_requests):
+                executor.load_request_ended(function)
         for index in gone:
             del self.executors[index]
         for index in unused:
             del self.functions[index]
+            self.function_order.forget(index)
+        self._drop_dead_timers()
         self.freed.executors.extend(gone)
         self.freed.functions.extend(unused)
 
+    def make_room_for_function(self) -> None:
+        """Forget a function if no more may be known; call before one is named, and `released` after it.
+
+        A function with a request or a load in progress stays, so the bound may be passed by as many as those.
+        """
+        if not self.functions_bound or len(self.functions) < self.functions_bound:
+            return
+        for index in self.function_order.oldest(FORGET_TRIES):
+            if self._may_forget(index):
+                self._forget_function(index)
+                return
+            self.function_order.used(index)  # it is in use: the next ones are looked at first from now on
+
+    def _may_forget(self, index: int) -> bool:
+        return not self.functions[index].open_requests and index not in self.fleet.loads_anywhere
+
+    def _forget_function(self, index: int) -> None:
+        function = self.functions.pop(index)
+        for executor in list(function.skilled.values()):
+            self._remove_skills(executor, function)
+        self.prefetch_wanted.pop(index, None)
+        self.function_order.forget(index)
+        self.freed.functions.append(index)
+
+    def _drop_dead_timers(self) -> None:
+        """Drop the timers of released requests once they are most of all."""
+        if len(self.timers) <= TIMERS_KEPT + TIMERS_PER_REQUEST * len(self.requests):
+            return
+        self.timers = [
+            (due, index) for due, index in self.timers if index in self.requests or index == EXPIRY_TIMER
+        ]
+        heapq.heapify(self.timers)
+
     def _expire_skills(self, now: float) -> None:
         for executor in self.executors.values():
             least_keep_ms = self.loading_settings.least_keep_ms
--- a/petrelway/routing/inputs.py
+++ b/petrelway/routing/inputs.py
@@ -77,6 +77,7 @@
         now = self.clock.enter(now)
         load_ms = bounded(load_ms, self.loading_settings.load_request_timeout_ms or LONGEST_LOAD_MS)
         self.functions[function] = Function(function, stable, lanes, load_ms, now)
+        self.function_order.used(function)
 
     def request_taken(
         self,
@@ -113,7 +114,9 @@
             jitter,
         )
         self.requests[request] = taken
-        self.gate.taken.append(now)
+        known.open_requests += 1
+        self.function_order.used(function)
+        taken.quota_entry = self.gate.request_taken(now)
         self._earn_hedge()
         self.ready_queue.append(request)
         heapq.heappush(self.timers, (taken.answer_deadline_ms, request))
@@ -153,6 +156,8 @@
         if outcome not in NEVER_RAN:
             known.possible_runs.append(attempt.possible_run())
         known.answered = known.answered or finished
+        if outcome is Outcome.SUCCEEDED:
+            self.function_order.served(known.function.index)
         took_ms = duration(took_ms)
         started_ms = executor.endpoint.started_ms
         if attempt.sent_ms >= started_ms or not started_ms:
@@ -214,8 +219,7 @@
         self.clock.enter(now)
         if known := self.requests.get(request):
             known.answered = True
-            if known.taken_ms in self.gate.taken:  # else hundreds cancelled at once would earn load requests
-                self.gate.taken.remove(known.taken_ms)
+            self.gate.request_taken_back(known.quota_entry)
             self.ready_queue.append(request)
 
     def request_abandoned(self, now: float, request: int) -> None:
--- a/petrelway/routing/router.py
+++ b/petrelway/routing/router.py
@@ -18,7 +18,7 @@
 
 from .concurrency import LATE_SHARE, LIMIT_MIN, LIMIT_START
 from .endpoint_lease import PROBE_TIMEOUT_MS, EndpointLeases
-from .expiry import EXPIRY_INTERVAL_MS, Expiry
+from .expiry import EXPIRY_INTERVAL_MS, EXPIRY_TIMER, Expiry
 from .figure_repair import FigureRepair
 from .hedging import HEDGE_BUDGET_MAX, overdue_at_ms
 from .inputs import RECHECK_INTERVAL_MS, Inputs, total_rate
@@ -44,7 +44,6 @@
 )
 
 QUEUE_SHARE = 0.3  # a request waits for capacity for at most this share of its latency objective
-EXPIRY_TIMER = -1  # used in the timers instead of a request index
 
 
 class FrontEnd(Inputs, Selection, Expiry, FigureRepair):
@@ -179,6 +178,7 @@
                 attempt.cancelled = True
                 return Action(ActionKind.CANCEL, request.index, number=attempt.number)
         if not request.in_flight and self.requests.pop(request.index, None):
+            request.function.open_requests -= 1
             self.freed.requests.append(request.index)
         return None
 
--- a/petrelway/routing/state.py
+++ b/petrelway/routing/state.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
+from .function_order import FunctionOrder
 from .hash_ring import HASH_BITS, HashRing
 from .types import (
     Capabilities,
@@ -98,6 +99,7 @@
         self.cost_ms = cost_ms  # estimated
         self.hinted_cost_ms = hinted_cost_ms  # 0: no hint
         self.taken_ms = taken_ms
+        self.quota_entry = 0  # among the requests that earn load requests
         self.answer_deadline_ms = times.answer_deadline_ms
         self.latency_objective_at_ms = times.latency_objective_at_ms
         self.waits_until_ms = times.waits_until_ms
@@ -165,13 +167,18 @@
 
     def load_requested(self, function: int, now: float) -> None:
         """Record that a load request for this function is sent."""
-        if function not in self.load_requests and self.listed:
-            self.fleet.adjust_load_requests(function, 1)
+        if function not in self.load_requests:
+            self.fleet.count_load(function, 1)
+            if self.listed:
+                self.fleet.adjust_load_requests(function, 1)
         self.load_requests[function] = now
 
     def load_request_ended(self, function: int) -> None:
         """Record that the load request for this function has ended, with whatever outcome."""
-        if self.load_requests.pop(function, None) is not None and self.listed:
+        if self.load_requests.pop(function, None) is None:
+            return
+        self.fleet.count_load(function, -1)
+        if self.listed:
             self.fleet.adjust_load_requests(function, -1)
 
 
@@ -187,6 +194,7 @@
         self.ready = self.ring.members
         self.saturated = 0  # executors at their limit
         self.load_requests = 0  # own load requests in progress
+        self.loads_anywhere: dict[int, int] = {}  # function -> own load requests, at executors of any stage
         self.loading: dict[int, int] = {}  # function -> own load requests in progress
 
     def set_ready(self, executor: Executor, ready: bool) -> None:
@@ -203,6 +211,13 @@
         else:
             self.ring.remove(executor)
 
+    def count_load(self, function: int, step: int) -> None:
+        """Add `step` to the own load requests for this function, wherever they are in progress."""
+        left = self.loads_anywhere.get(function, 0) + step
+        self.loads_anywhere[function] = left
+        if not left:
+            del self.loads_anywhere[function]
+
     def adjust_load_requests(self, function: int, step: int) -> None:
         """Add `step` to the own load requests in progress for this function."""
         self.load_requests += step
@@ -226,6 +241,7 @@
         self.mean_ms = 0.0
         self.last_used_ms = now
         self.demand = 0.0  # decayed sum of the costs of the requests taken
+        self.open_requests = 0  # requests that are not released yet
         self.waiting: dict[int, None] = {}  # requests that wait for an executor or a load
         self.skilled: dict[int, Executor] = {}  # executors whose resumes contain it
 
@@ -254,6 +270,8 @@
         self.warm_executors: dict[int, int] = {}  # machine type -> ready executors past their slow start
         self.service_time_baselines: dict[int, float] = {}  # machine type -> low quantile of the factors
         self.functions: dict[int, FunctionState] = {}
+        self.function_order = FunctionOrder()
+        self.functions_bound = 0  # functions known at once, 0: any number
         self.requests: dict[int, Request] = {}
         self.attempts_in_flight = 0  # those that are not overdue
         self.limit_decreased_ms = -math.inf
