--- a/petrelway/commands/node.py
+++ b/petrelway/commands/node.py
@@ -9,11 +9,14 @@
 
 import click
 
-from ..common import structured_logs as logs
 from ..common.process_clock import process_clock
+from ..common.unloaded_modules import unloaded
 from ..platform.configuration import read_configuration
 from ..platform.errors import ProtocolError
 
+with unloaded("rich"):  # structlog loads it for consoles; this command logs JSON, and memory is short
+    from ..common import structured_logs as logs
+
 INTERPRETER_START_S = 0.3  # from the program's start to this module's, at most
 LOADED_S = process_clock().seconds()
 
--- a/petrelway/node/buffer_pool.py
+++ b/petrelway/node/buffer_pool.py
@@ -16,10 +16,11 @@
 from enum import Enum
 
 DEFAULT_BUFFERS_BYTES = 8 << 20  # where no memory limit is given
-REQUESTS_SHARE = 0.7  # of the bound, that open requests may use; answers and frames need the rest
+REQUESTS_SHARE = 0.6  # of the bound, that open requests may use; answers and frames need the rest
 HOLDER_SHARE = 0.5  # of the free bytes that one holder may use beside them
-HIGH_SHARE = 0.85  # of the bound, from which holders that do not move on are closed ...
-RELIEVED_SHARE = 0.7  # ... until so much of it is in use
+# Of the bound: from where executors are not read, and holders that do not move on are closed ...
+HIGH_SHARE = 0.8
+RELIEVED_SHARE = 0.65  # ... until so much of it is in use
 LEAST_BOUND_SHARE = 0.25  # of the planned bound that stays, whatever the process holds besides
 
 
@@ -39,7 +40,7 @@
 
     >>> pool = BufferPool(1000)
     >>> first, second = pool.account(), pool.account()
-    >>> first.fits(350), first.fits(351), first.set(Use.REQUESTS, 300), second.fits(200), pool.used_bytes
+    >>> first.fits(300), first.fits(301), first.set(Use.REQUESTS, 300), second.fits(150), pool.used_bytes
     (True, False, None, True, 300)
     >>> first.close(), pool.used_bytes
     (None, 0)
@@ -63,14 +64,14 @@
         """Open the account of one holder, such as a connection."""
         return BufferAccount(self)
 
-    def free_bytes(self) -> int:
-        """Return how many bytes are not in use."""
-        return max(0, self.bound_bytes - self.used_bytes)
-
     def free_for_requests(self) -> int:
         """Return how many bytes further requests may use."""
         return max(0, int(REQUESTS_SHARE * self.bound_bytes) - self.used_bytes)
 
+    def free_for_answers(self) -> int:
+        """Return how many bytes further reads of executors may use: more than requests, which they end."""
+        return max(0, int(HIGH_SHARE * self.bound_bytes) - self.used_bytes)
+
     def is_high(self) -> bool:
         """Whether holders that do not move on are to be closed."""
         return self.used_bytes >= HIGH_SHARE * self.bound_bytes
--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -116,7 +116,7 @@
         sockets = available_descriptors(configuration.sockets)
         shares = share_descriptors(sockets)
         self.buffers = BufferPool(DEFAULT_BUFFERS_BYTES)  # until the plan is made
-        self.executor_gate = ReadGate(self.reactor, self.buffers.free_bytes)
+        self.executor_gate = ReadGate(self.reactor, self.buffers.free_for_answers)
         self.connection_budget = ConnectionBudget(shares.executors, self.buffers, self.executor_gate)
         self.dispatcher = self._make_dispatcher(random_source)
         self.admission = self._make_admission(sockets, random_source)
@@ -137,6 +137,10 @@
             executors=len(self.dispatcher.channels),
             resident_mb=self.memory_watch.figures()["start_mb"],
         )
+        plan = self.memory_watch.plan
+        self.log.info("memory divided", **plan._asdict())
+        if plan.cut:
+            self.log.warning("memory limit cuts what descriptors and pages allow", cut=plan.cut)
 
     def _make_memory_watch(self, shares: DescriptorShares) -> MemoryWatch:
         """Divide the memory limit, now that the first list is in place, and set the bounds that follow."""
@@ -150,9 +154,6 @@
         self.client_listener.recent_ids.bound = plan.request_ids
         self.dispatcher.front_end.functions_bound = plan.functions
         self.admission.bound_buffers(plan.buffers_bytes)
-        self.log.info("memory divided", **plan._asdict())
-        if plan.cut:
-            self.log.warning("memory limit too small for the descriptors", cut=plan.cut)
         return MemoryWatch(plan, self.resident_bytes, self.buffers, self.memory_uses, self.log)
 
     def _buffers_released(self) -> None:
--- a/petrelway/routing/expiry.py
+++ b/petrelway/routing/expiry.py
@@ -14,7 +14,7 @@
 EXPIRY_INTERVAL_MS = 1000.0  # interval at which stale state is dropped
 FORGET_TRIES = 8  # functions looked at for one to forget, of those served and of the others
 EXPIRY_TIMER = -1  # used in the timers instead of a request index
-TIMERS_KEPT = 1024  # timers that may wait beside those of requests
+TIMERS_KEPT = 16_384  # timers that may wait beside those of requests
 TIMERS_PER_REQUEST = 8
 FORGET_FUNCTION_MS = 60000.0  # a function not in use for this long is forgotten
 
@@ -76,8 +76,9 @@
         self.freed.functions.append(index)
 
     def _drop_dead_timers(self) -> None:
-        """Drop the timers of released requests once they are most of all."""
-        if len(self.timers) <= TIMERS_KEPT + TIMERS_PER_REQUEST * len(self.requests):
+        """Drop the timers of released requests once they are most of all, where memory is bounded."""
+        most = TIMERS_KEPT + TIMERS_PER_REQUEST * len(self.requests)
+        if not self.functions_bound or len(self.timers) <= most:
             return
         self.timers = [
             (due, index) for due, index in self.timers if index in self.requests or index == EXPIRY_TIMER
