Relief of memory judges answers by what the system would not take, and reads lines first

Cause: an answer counted as unread from when it was handed to the transport; in a long turn of the process itself it waits for the reactor's next write, and memory relief aborted the connection. A partial line's rest could be unread in the socket in the same way. Change: an answer stalls only once a write left some of it; the socket is read before a partial line is closed.

--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -106,10 +106,10 @@
         """Note that the transport takes no more answers."""
         self.state.answers_unread(self.listener.now())
 
-    def _answers_buffered(self, count: int) -> None:
-        """Note how many bytes of answers the system has not taken yet."""
+    def _answers_buffered(self, count: int, blocked: bool) -> None:
+        """Note how many bytes of answers the system has not taken, and whether it was asked to take them."""
         self.account.set(Use.ANSWERS, count)
-        self.state.answers_buffered(self.listener.now(), count)
+        self.state.answers_buffered(self.listener.now(), count, blocked)
 
     # -- reading
 
--- a/petrelway/node/connection_state.py
+++ b/petrelway/node/connection_state.py
@@ -136,11 +136,14 @@
         """Note that the client reads its answers again."""
         self.unread_since_ms = None
 
-    def answers_buffered(self, now: float, count: int) -> None:
-        """Note how many bytes of answers the system has not taken."""
+    def answers_buffered(self, now: float, count: int, blocked: bool) -> None:
+        """Note how many bytes of answers the system has not taken; `blocked`: it was asked to take them.
+
+        Answers that wait for this process to write them, in a long turn, are no sign of a client.
+        """
         if not count:
             self.buffered_since_ms = None
-        elif self.buffered_since_ms is None:
+        elif blocked and self.buffered_since_ms is None:
             self.buffered_since_ms = now
 
     def end(self, reason: CloseReason) -> bool:
--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -124,7 +124,7 @@
         """Note that the transport accepts no more data."""
         self.paused = True
 
-    def _frames_buffered(self, count: int) -> None:
+    def _frames_buffered(self, count: int, blocked: bool) -> None:
         """Note how many bytes of frames the system has not taken yet."""
         if not self.dropped:
             self.account.set(Use.FRAMES, count)
--- a/petrelway/node/memory_relief.py
+++ b/petrelway/node/memory_relief.py
@@ -45,6 +45,9 @@
         for _, connection in stalled:
             if freed >= wanted:
                 return
+            connection.read_pending_bytes()  # the rest of its line may be unread, after a long turn
+            if connection.stalled_byte_ms(now) <= 0.0:
+                continue
             freed += connection.account.held_bytes
             listener.warn_once("client connection closed for memory", **connection.ages_ms(now))
             connection.end_for_memory()
--- a/petrelway/sockets/transports.py
+++ b/petrelway/sockets/transports.py
@@ -31,7 +31,7 @@
     """
 
     read_gate: ReadGate | None = None
-    on_buffered: Callable[[int], None] | None = None
+    on_buffered: Callable[[int, bool], None] | None = None  # bytes held, and whether the system took too few
     reading_paused = False  # by the protocol, whatever the gate says
     holds_input = True  # unless the protocol says that it holds nothing of what was read
 
@@ -73,12 +73,12 @@
     def write(self, data: bytes) -> None:
         """Write now or once the system takes more."""
         super().write(data)
-        self._report_buffered()
+        self._report_buffered(False)
 
     def doWrite(self):
         """Pass on what the system takes now."""
         result = super().doWrite()
-        self._report_buffered()
+        self._report_buffered(True)
         return result
 
     def writeSomeData(self, data):
@@ -96,6 +96,7 @@
         self.read_gate = None
         self.on_buffered = None
 
-    def _report_buffered(self) -> None:
+    def _report_buffered(self, after_write: bool) -> None:
         if self.on_buffered is not None:
-            self.on_buffered(self.buffered_bytes())
+            held = self.buffered_bytes()
+            self.on_buffered(held, after_write and held > 0)
