--- a/petrelway/node/service.py
+++ b/petrelway/node/service.py
@@ -128,6 +128,7 @@
         self.port = self.retry_transient_errors(self._listen)
         self.join_peers()
         super().startService()
+        plan = self.memory_watch.plan
         self.log.info(
             "front end started",
             address=configuration.address,
@@ -135,10 +136,8 @@
             sockets=sockets,
             memory_mb=configuration.memory_mb,
             executors=len(self.dispatcher.channels),
-            resident_mb=self.memory_watch.figures()["start_mb"],
+            memory=plan._asdict(),
         )
-        plan = self.memory_watch.plan
-        self.log.info("memory divided", **plan._asdict())
         if plan.cut:
             self.log.warning("memory limit cuts what descriptors and pages allow", cut=plan.cut)
 
--- a/petrelway/sockets/peer_close.py
+++ b/petrelway/sockets/peer_close.py
@@ -8,8 +8,7 @@
 
 import select
 
-CLOSED = getattr(select, "POLLRDHUP", 0)
-BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL  # reported whether asked for or not
+CLOSED = getattr(select, "POLLRDHUP", 0)  # also after a reset
 
 
 def peer_has_closed(descriptor: int) -> bool:
@@ -20,4 +19,4 @@
         found = poll.poll(0)
     except OSError:
         return False
-    return any(events & (CLOSED | BROKEN) for _, events in found)
+    return any(events & CLOSED for _, events in found)
