Accounts of the buffers add in constant lists; a request costs less to charge

Cause: a request made 9 charges, each with several lookups by an enum's hash, which Python computes in Python: some 80 us of a request under the profiler. Change: uses index lists; sums are added in one place; request numbers are charged only when their size changed.

--- a/petrelway/node/buffer_pool.py
+++ b/petrelway/node/buffer_pool.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import Enum
+from enum import IntEnum
 
 DEFAULT_BUFFERS_BYTES = 8 << 20  # where no memory limit is given
 REQUESTS_SHARE = 0.6  # of the bound, that open requests may use; answers and frames need the rest
@@ -24,15 +24,15 @@
 LEAST_BOUND_SHARE = 0.25  # of the planned bound that stays, whatever the process holds besides
 
 
-class Use(Enum):
-    """What a charge is for."""
+class Use(IntEnum):
+    """What a charge is for; the index of its sum."""
 
-    RECEIVED = "received"
-    REQUESTS = "requests"
-    ANSWERS = "answers"
-    NUMBERS = "request numbers"
-    FRAMES = "frames"
-    PARTIAL_ANSWERS = "partial answers"
+    RECEIVED = 0
+    REQUESTS = 1
+    ANSWERS = 2
+    NUMBERS = 3
+    FRAMES = 4
+    PARTIAL_ANSWERS = 5
 
 
 class BufferPool:
@@ -52,7 +52,7 @@
         self.bound_bytes = bound_bytes
         self.used_bytes = 0
         self.peak_bytes = 0
-        self.by_use: dict[Use, int] = dict.fromkeys(Use, 0)
+        self.by_use = [0] * len(Use)
         self.on_release: Callable[[], None] = _ignore  # called each time bytes are given back
 
     def plan(self, bound_bytes: int) -> None:
@@ -85,21 +85,13 @@
         least = int(LEAST_BOUND_SHARE * self.planned_bytes)
         self.bound_bytes = max(least, self.planned_bytes - max(0, bytes_))
 
-    def _changed(self, use: Use, by: int) -> None:
-        self.used_bytes += by
-        self.by_use[use] += by
-        if by > 0:
-            self.peak_bytes = max(self.peak_bytes, self.used_bytes)
-        elif by < 0:
-            self.on_release()
-
     def figures(self) -> dict[str, int]:
         """Return what is in use, by use, for the log; bytes."""
         return {
             "bound": self.bound_bytes,
             "used": self.used_bytes,
             "peak": self.peak_bytes,
-            **{use.value: held for use, held in self.by_use.items() if held},
+            **{use.name.lower(): self.by_use[use] for use in Use if self.by_use[use]},
         }
 
 
@@ -112,11 +104,11 @@
         """Start with nothing; `BufferPool.account` opens accounts."""
         self.pool = pool
         self.held_bytes = 0
-        self._held: dict[Use, int] = {}
+        self._held = [0] * len(Use)
 
     def held(self, use: Use) -> int:
         """Return how many bytes are held for one use."""
-        return self._held.get(use, 0)
+        return self._held[use]
 
     def fits(self, more: int) -> bool:
         """Whether this holder may hold so many bytes more for requests."""
@@ -124,15 +116,18 @@
 
     def set(self, use: Use, bytes_: int) -> None:
         """Hold so many bytes for a use from now on."""
-        by = bytes_ - self._held.get(use, 0)
+        by = bytes_ - self._held[use]
         if not by:
             return
-        if bytes_:
-            self._held[use] = bytes_
-        else:
-            del self._held[use]
+        self._held[use] = bytes_
         self.held_bytes += by
-        self.pool._changed(use, by)
+        pool = self.pool
+        pool.by_use[use] += by
+        pool.used_bytes += by
+        if by < 0:
+            pool.on_release()
+        elif pool.used_bytes > pool.peak_bytes:
+            pool.peak_bytes = pool.used_bytes
 
     def add(self, use: Use, more: int) -> None:
         """Hold so many bytes more for a use, or fewer if negative."""
@@ -140,7 +135,7 @@
 
     def close(self) -> None:
         """Give all back; further charges are not expected."""
-        for use in list(self._held):
+        for use in Use:
             self.set(use, 0)
 
 
--- a/petrelway/node/client_connection.py
+++ b/petrelway/node/client_connection.py
@@ -201,7 +201,10 @@
     def _charge_numbers(self) -> None:
         """Charge what remembers the used numbers; forget the older ones if that is too much."""
         numbers = self.state.used_numbers
-        self.account.set(Use.NUMBERS, numbers.size_bytes())
+        size = numbers.size_bytes()
+        if size == self.account.held(Use.NUMBERS):
+            return
+        self.account.set(Use.NUMBERS, size)
         if not self.account.fits(0) and numbers.forget_older():
             self.account.set(Use.NUMBERS, numbers.size_bytes())
 
--- a/petrelway/node/used_numbers.py
+++ b/petrelway/node/used_numbers.py
@@ -119,7 +119,7 @@
 
     def size_bytes(self) -> int:
         """Return how much memory the spans take, with what their arrays keep free."""
-        return SPAN_BYTES * len(self)
+        return SPAN_BYTES * (len(self._recent._firsts) + len(self._older._firsts))
 
     def forget_older(self) -> bool:
         """Forget the numbers used longest ago; return whether there were any."""
--- a/tests/test_buffer_pool.py
+++ b/tests/test_buffer_pool.py
@@ -89,7 +89,7 @@
             elif account.fits(more):
                 account.add(Use.REQUESTS, more)
                 assert pool.used_bytes <= REQUESTS_SHARE * pool.bound_bytes
-            assert pool.used_bytes == sum(each.held_bytes for each in accounts) == sum(pool.by_use.values())
+            assert pool.used_bytes == sum(each.held_bytes for each in accounts) == sum(pool.by_use)
         for account in accounts:
             account.close()
         assert pool.used_bytes == 0
