--- a/tests/memory_soak.py
+++ b/tests/memory_soak.py
@@ -12,6 +12,7 @@
 import concurrent.futures
 import contextlib
 import json
+import os
 import random
 import signal
 import socket
@@ -102,6 +103,12 @@
         return self.soak.lost(f"request {number} had no answer after {took_s:.2f} s", sent_s)
 
 
+def own_address():
+    """An address of this process alone: a free port of 127.0.0.1 may be drawn by others between two lives."""
+    high, low = divmod(os.getpid() % 50_000, 250)
+    return f"127.{high + 20}.{low + 1}.1:8443"
+
+
 class Soak:
     """One seed."""
 
@@ -124,7 +131,12 @@
         odd = self.random_source.choice(ODD_EXECUTORS)
         executors = [Executor(), Executor(), odd()]
         self.node = Node(
-            self.folder, executors, known=(1, 2, 3), sockets=self.sockets, memory_mb=self.limit_mb
+            self.folder,
+            executors,
+            known=(1, 2, 3),
+            sockets=self.sockets,
+            memory_mb=self.limit_mb,
+            address=own_address(),
         )
         callers = [Caller(self, index) for index in range(USUAL_CLIENTS)]
         floods = self._floods()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -110,13 +110,14 @@
         failing=None,
         bus_up=True,
         memory_mb=192,
+        address=None,
         **changes,
     ):
         """`before`: of the shell, ahead of the command; `failing`: its system calls, as FailingCalls."""
         self.executors, self.bus = executors, Bus()
         if not bus_up:
             self.bus.close()
-        self.address, self.path = spare(), path / "config.json"
+        self.address, self.path = address or spare(), path / "config.json"
         self.config = {
             "executors": tuple((n, executors[n - 1].port) for n in known or (1,)),
             "sockets": sockets,
