Tests of three mutants of the memory budget that none had caught

Cause: of six mutants of the budget three passed all tests in memory: frames not counted, answers in part not counted, requests admitted by number where sizes differ. Change: two tests in tests/test_buffer_pool.py.

--- a/tests/test_buffer_pool.py
+++ b/tests/test_buffer_pool.py
@@ -5,8 +5,9 @@
 import pytest
 from doubles import clock
 from test_client_connections import Rig
+from test_executor_pool import Rig as PoolRig
 
-from petrelway.fakes.platform_peers import request
+from petrelway.fakes.platform_peers import answer, request
 from petrelway.gateway.answers import Answer, Completion
 from petrelway.node.buffer_pool import REQUESTS_SHARE, BufferPool, Use
 from petrelway.node.connection_state import CloseReason
@@ -150,12 +151,46 @@
     refused = rig.listener.counts["rejected for memory"]
     assert refused and len(rig.submitted) == 5 - refused
     assert b'"pushback":200' in pipe.take() and "requests rejected for memory" in rig.log.events()
-    for _, answer in rig.submitted:
-        answer.callback(Answer(Completion.FAILED))
+    for _, pending in rig.submitted:
+        pending.callback(Answer(Completion.FAILED))
     client.dataReceived(request(9, call=f"{9:016x}", body=b"small"))
     assert len(rig.submitted) == 6 - refused
 
 
+def test_requests_are_bounded_by_their_bytes_and_not_by_their_number():
+    """As many large ones as small ones would be many times the budget."""
+    taken = []
+    for body in (b"", LARGE_BODY):
+        rig = Rig()
+        rig.listener.buffers.plan(170_000)
+        client, _ = rig.client()
+        for number in range(1, 13):
+            client.dataReceived(request(number, call=f"{number:016x}", body=body))
+        taken.append(len(rig.submitted))
+        used = rig.listener.buffers.by_use[Use.REQUESTS]
+        assert used <= 0.5 * REQUESTS_SHARE * rig.listener.buffers.bound_bytes
+    assert taken == [12, 2]
+
+
+def test_frames_and_partial_answers_are_charged_until_their_connection_ends():
+    """A copy that is not counted: what waits for an executor, and what came of its answer."""
+    for ends in ("drop", "answer"):
+        rig = PoolRig()
+        connection, _ = rig.up()
+        rig.send(1)
+        buffers = rig.budget.buffers
+        connection.transport.on_buffered(500, True)
+        whole = answer(100, (1).to_bytes(8, "big"), body=bytes(1000))
+        connection.dataReceived(whole[:-1])
+        assert buffers.by_use[Use.FRAMES] == 500
+        assert buffers.by_use[Use.PARTIAL_ANSWERS] == len(whole) - 1
+        if ends == "answer":
+            connection.dataReceived(whole[-1:])
+            assert buffers.by_use[Use.PARTIAL_ANSWERS] == 0
+        rig.pool.close()
+        assert buffers.used_bytes == 0 and not connection.reader.buffered
+
+
 def test_the_heaviest_that_stall_are_closed_while_others_wait_and_not_those_that_move_on():
     """Usual clients go on; what has not become a request may be closed."""
     rig = Rig()
