Clients that read nothing are closed before requests of others are refused for them

Cause: requests are refused from 60% of the buffers, what stalls was closed from 80% only. Change: what stalls is closed from half of the buffers on, until 40% are in use; executors are read up to 80% as before.

--- a/petrelway/node/buffer_pool.py
+++ b/petrelway/node/buffer_pool.py
@@ -18,9 +18,10 @@
 DEFAULT_BUFFERS_BYTES = 8 << 20  # where no memory limit is given
 REQUESTS_SHARE = 0.6  # of the bound, that open requests may use; answers and frames need the rest
 HOLDER_SHARE = 0.5  # of the free bytes that one holder may use beside them
-# Of the bound: from where executors are not read, and holders that do not move on are closed ...
-HIGH_SHARE = 0.8
-RELIEVED_SHARE = 0.65  # ... until so much of it is in use
+EXECUTORS_SHARE = 0.8  # of the bound, from which executors are not read
+# Of the bound: from where holders that do not move on are closed, before requests are refused for them ...
+HIGH_SHARE = 0.5
+RELIEVED_SHARE = 0.4  # ... until so much of it is in use
 LEAST_BOUND_SHARE = 0.25  # of the planned bound that stays, whatever the process holds besides
 
 
@@ -70,7 +71,7 @@
 
     def free_for_answers(self) -> int:
         """Return how many bytes further reads of executors may use: more than requests, which they end."""
-        return max(0, int(HIGH_SHARE * self.bound_bytes) - self.used_bytes)
+        return max(0, int(EXECUTORS_SHARE * self.bound_bytes) - self.used_bytes)
 
     def is_high(self) -> bool:
         """Whether holders that do not move on are to be closed."""
--- a/tests/test_buffer_pool.py
+++ b/tests/test_buffer_pool.py
@@ -225,6 +225,21 @@
         assert pipe.aborted is blocked
 
 
+def test_answers_that_are_not_read_are_given_up_before_requests_of_others_are_refused():
+    """Eight clients that read nothing left a third of a usual client's requests refused."""
+    rig = Rig()
+    buffers = rig.listener.buffers
+    buffers.plan(100_000)
+    hoarding, pipe = rig.client()
+    hoarding.transport.on_buffered(int(0.55 * buffers.bound_bytes), True)
+    usual, _ = rig.client()
+    rig.step(200)
+    assert pipe.aborted
+    hoarding.connectionLost()
+    usual.dataReceived(request(1, call=f"{1:016x}", body=LARGE_BODY))
+    assert len(rig.submitted) == 1
+
+
 def test_a_line_whose_rest_is_unread_in_the_socket_does_not_stall():
     """After a long turn of the process the rest has come, and the request would be lost."""
     rig = Rig()
