--- a/tests/test_memory_watch.py
+++ b/tests/test_memory_watch.py
@@ -1,5 +1,7 @@
 """What the log says of the process's memory."""
 
+import mmap
+
 from doubles import Log
 
 from petrelway.common.process_memory import ResidentMemory
@@ -7,6 +9,8 @@
 from petrelway.node.memory_plan import plan_memory
 from petrelway.node.memory_watch import MemoryWatch
 
+HELD_BYTES = 10_240_000
+
 
 def test_memory_near_the_limit_is_logged_once_an_episode_with_what_holds_it():
     """A process that is killed for memory says nothing more: what holds it must be in the log before."""
@@ -31,8 +35,12 @@
     """An account of our own would not show what the allocator keeps."""
     memory = ResidentMemory()
     before = memory.read_bytes()
-    held = bytes(range(256)) * 40_000
-    assert memory.read_bytes() - before > 0.9 * len(held)
+    with mmap.mmap(
+        -1, HELD_BYTES
+    ) as held:  # pages of its own: a large process has freed ones to give out again
+        for offset in range(0, HELD_BYTES, mmap.PAGESIZE):
+            held[offset] = 1
+        assert memory.read_bytes() - before > 0.9 * HELD_BYTES
     memory.close()
     assert memory.read_bytes() == 0
 
