--- a/tests/test_memory_watch.py
+++ b/tests/test_memory_watch.py
@@ -37,7 +37,7 @@
     before = memory.read_bytes()
     with mmap.mmap(
         -1, HELD_BYTES
-    ) as held:  # pages of its own: a large process has freed ones to give out again
+    ) as held:  # own pages; a large process has freed ones
         for offset in range(0, HELD_BYTES, mmap.PAGESIZE):
             held[offset] = 1
         assert memory.read_bytes() - before > 0.9 * HELD_BYTES
