--- a/tests/test_memory_watch.py
+++ b/tests/test_memory_watch.py
@@ -35,9 +35,7 @@
     """An account of our own would not show what the allocator keeps."""
     memory = ResidentMemory()
     before = memory.read_bytes()
-    with mmap.mmap(
-        -1, HELD_BYTES
-    ) as held:  # own pages; a large process has freed ones
+    with mmap.mmap(-1, HELD_BYTES) as held:  # own pages; a large process has freed ones
         for offset in range(0, HELD_BYTES, mmap.PAGESIZE):
             held[offset] = 1
         assert memory.read_bytes() - before > 0.9 * HELD_BYTES
