The stand-in clients write their record as they are answered

Cause: the test counts the rejected answers in the clients' record while the clients run, and that record was written every 64 KB only, 4.1 s of traffic in this module. The test before it ends a voter and starts it again; the answers of that process before it serves (503, 1 to 7 ms) were still in the buffer when the first count was read, and were counted as the changes' own. The last count missed up to 4.1 s in the same way.

No code of the front ends changed.

--- a/petrelway/commands/serve.py
+++ b/petrelway/commands/serve.py
@@ -54,7 +54,7 @@
 
     from ..common.process_clock import process_clock, steady_reactor
     from ..daemon.service import Daemon
-    from ..fakes.records import Record
+    from ..fakes.records import UNBUFFERED, Record
     from ..gateway.garbage_collection import configure_collector
     from ..gateway.service import FrontEndService
     from ..policy.raft_storage import StorageError
@@ -75,7 +75,7 @@
         raise click.BadParameter(f"found {policy!r}; allowed: {', '.join(POLICIES)}", param_hint="--policy")
     # the pass-through has no state to watch: it is the bare intake, host and links
     meter_s = time.perf_counter if meter else None
-    written = Record(record, reactor, epoch_ms, 0) if record else None
+    written = Record(record, reactor, epoch_ms, UNBUFFERED) if record else None
     note = written.note if written else None
     unix_ahead_s = process_clock().unix_ahead_s
     if policy == "pass-through":
--- a/petrelway/fakes/records.py
+++ b/petrelway/fakes/records.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
+BUFFER_BYTES = 1 << 16  # of lines held back before a write
+UNBUFFERED = 0
+
 
 class Record:
     """Appends to one file; `t` is wall-clock ms since the day's epoch. Only a last line may be cut off."""
 
-    def __init__(self, path: str, clock, epoch_ms: float, buffer: int = 1 << 16) -> None:
-        """`buffer` 0: each line at once, for a process that will be killed."""
+    def __init__(self, path: str, clock, epoch_ms: float, buffer: int = BUFFER_BYTES) -> None:
+        """`buffer` UNBUFFERED: each line at once, so for a process that is killed."""
         self.file = open(path, "ab", buffering=buffer)
         self.clock, self.epoch_ms = clock, epoch_ms
         self.encode = msgspec.json.Encoder().encode
--- a/petrelway/fakes/scenario_processes.py
+++ b/petrelway/fakes/scenario_processes.py
@@ -16,7 +16,7 @@
 from .fault_script import Happening, Script, write
 from .model_store import Store, StoreClient, StoreProtocol
 from .package_store import Shelf, site
-from .records import Record
+from .records import BUFFER_BYTES, UNBUFFERED, Record
 from .traffic import functions
 
 LATE_MS = 2000.0  # parts stay so long after the last outer limit
@@ -39,8 +39,8 @@
             + LATE_MS
         )
 
-    def record(self, name: str, reactor) -> Record:
-        return Record(str(self.folder / f"{name}.jsonl"), reactor, self.epoch_ms)
+    def record(self, name: str, reactor, buffer: int = BUFFER_BYTES) -> Record:
+        return Record(str(self.folder / f"{name}.jsonl"), reactor, self.epoch_ms, buffer)
 
 
 def _play(reactor, plan: Plan, who: str, happen, numbers=None) -> None:
@@ -150,7 +150,7 @@
 
 
 def play_clients(reactor, plan: Plan, number: int) -> None:
-    record = plan.record(f"clients-{number}", reactor)
+    record = plan.record(f"clients-{number}", reactor, UNBUFFERED)  # tests read it while the clients run
     clients = Clients(reactor, plan.day, plan.ports["fronts"], number, plan.epoch_ms, record)
     clients.start()
     _play(reactor, plan, "client", clients.happen)
--- a/tests/test_policy_process.py
+++ b/tests/test_policy_process.py
@@ -406,6 +406,15 @@
     fleet.until(lambda: "follows" in fleet.seen(other)["keeper"])
 
 
+def test_the_clients_record_is_written_as_they_are_answered(fleet):
+    """Guard against counts of answers that are seconds old: `rejects` reads the record while clients run."""
+    record, sizes = fleet.folder / "clients-0.jsonl", set()
+    for _ in range(20):
+        sizes.add(record.stat().st_size)
+        time.sleep(0.1)
+    assert len(sizes) >= 10  # 40 requests a second
+
+
 def test_a_row_of_changes_under_load_rejects_nobody(fleet):
     before = rejects(fleet)
     for n in range(4):
