Red tests: whose answer a trigger with an idempotency key gets

Cause shown, not yet mended: a worker knows a keyed trigger by source and id alone, and front ends join the two by a newline that either may hold.

No program code changed.

--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,231 @@
+"""A whole deployment of `serve` on loopback: store, registry, workers, front ends, and clients over HTTP."""
+
+import contextlib
+import http.client
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from petrelway.common.endpoint_entry import EndpointEntry
+from petrelway.wire import registry_codec
+from petrelway.wire.framing import Frames
+from petrelway.worker.package import build
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 30.0  # for what must come; no test says how fast
+FUNCTION = "statement"
+REQUEST_CLASS = "stamped"
+DEADLINE_MS = 8000.0
+WINDOW_MS = 20_000.0
+# The answer says what this very body asked for, and counts how often the function ran in its process.
+ENTRY = """
+import json, time
+
+runs = 0
+
+def entry(body, call):
+    global runs
+    runs += 1
+    asked = json.loads(body)
+    time.sleep(asked.get("work_s", 0.0))
+    filling = "x" * asked.get("answer_bytes", 0)
+    return json.dumps({"account": asked["account"], "runs": runs, "filling": filling}).encode()
+"""
+
+
+class Reply(NamedTuple):
+    """What a client received: status, headers by lower-case name, body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def account(self):
+        return json.loads(self.body)["account"]
+
+
+def until(ready, what):
+    end = time.monotonic() + WAIT_S
+    while not (found := ready()):
+        assert time.monotonic() < end, what
+        time.sleep(0.02)
+    return found
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+def accepts(port):
+    with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), timeout=1.0):
+        return True
+    return False
+
+
+class Registry:
+    """Sends each follower the whole list, then changes with serials one after the other."""
+
+    def __init__(self):
+        self.entries, self.followers = {}, []
+        self.serial = 1
+        self.lock = threading.Lock()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.port = self.server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.server.accept()
+                threading.Thread(target=self._follow, args=(sock,), daemon=True).start()
+
+    def _follow(self, sock):
+        frames = Frames()
+        with contextlib.suppress(OSError):
+            while data := sock.recv(65536):
+                for _ in frames.feed(data):
+                    with self.lock:
+                        sock.sendall(registry_codec.listed(self.serial, True, list(self.entries.values())))
+                        self.followers.append(sock)
+
+    def tell(self, name, port, stage="ready"):
+        entry = EndpointEntry(name, "127.0.0.1", port, "a", "box", 0, stage, 1.0, 0.0)
+        with self.lock:
+            self.serial += 1
+            self.entries[name] = entry
+            for sock in self.followers:
+                with contextlib.suppress(OSError):
+                    sock.sendall(registry_codec.listed(self.serial, False, [entry]))
+
+    def close(self):
+        self.server.close()
+        for sock in self.followers:
+            sock.close()
+
+
+class Deployment:
+    """One store, one registry, and the workers and front ends that a test starts."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = []
+        self.fronts = {}  # port by name
+        self.registry = Registry()
+        self.store_port = free_port()
+        self._build_package()
+        self._start("store", "store", "serve", str(folder / "packages"), "--port", str(self.store_port))
+        until(lambda: accepts(self.store_port), "the store listens")
+
+    def _build_package(self):
+        source = self.folder / "source"
+        source.mkdir()
+        manifest = {"name": FUNCTION, "version": "1", "entry": "main:entry", "memory_mb": 40, "lanes": 8}
+        (source / "manifest.json").write_text(json.dumps(manifest))
+        (source / "main.py").write_text(ENTRY)
+        (self.folder / "packages").mkdir()
+        build(source, self.folder / "packages" / f"{FUNCTION}.tar")
+
+    def _start(self, name, *words):
+        with open(self.folder / f"{name}.err", "ab") as err:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "petrelway", *words], cwd=ROOT, stdout=err, stderr=err
+            )
+        self.processes.append(process)
+        return process
+
+    def start_worker(self, name="worker-0"):
+        port = free_port()
+        file = self.folder / f"{name}.json"
+        settings = {
+            "worker": {"name": name, "machine": "box"},
+            "listen": {"port": port},
+            "store": {"port": self.store_port},
+            "memory": {"budget_mb": 2000},
+            "images": {"folder": str(self.folder / f"images-{name}")},
+            "stamped": [{"tariff": REQUEST_CLASS, "window_ms": WINDOW_MS}],
+            "log": {"file": str(self.folder / f"{name}.log")},
+        }
+        file.write_text(json.dumps(settings))
+        process = self._start(name, "worker", "serve", str(file))
+        until(lambda: accepts(port), f"{name} listens")
+        self.registry.tell(name, port)
+        return process
+
+    def start_front_end(self, name="front-0"):
+        port = self.fronts[name] = free_port()
+        file = self.folder / f"{name}.json"
+        request_class = {
+            "name": REQUEST_CLASS,
+            "effect": "stamped",
+            "scope": "all",
+            "window_ms": WINDOW_MS,
+            "quoted_ms": DEADLINE_MS,
+            "outer_ms": DEADLINE_MS,
+        }
+        settings = {
+            "front_end": {"name": name, "hall": "a"},
+            "listen": {"port": port},
+            "roster": {"port": self.registry.port},
+            "fleet": {"halls": ["a"], "machines": ["box"]},
+            "tariffs": [request_class],
+            "cold": {"multiple": 4, "span_ms": 1500, "start_share": 0.2, "warm_ms": 1500},
+            "functions": [{"name": "*", "memory_mb": 40, "lanes": 8, "load_ms": 300}],
+            "customers": [
+                {"name": "north", "portion": 0.6, "rate": 600},
+                {"name": "south", "portion": 0.4, "rate": 400},
+            ],
+            "log": {"file": str(self.folder / f"{name}.log")},
+        }
+        file.write_text(json.dumps(settings))
+        process = self._start(name, "serve", str(file))
+        until(lambda: accepts(port), f"{name} listens")
+        until(lambda: self.post({"account": "warm"}, id=f"warm-{time.monotonic_ns()}").status == 200, "warm")
+        return process
+
+    def post(self, asked, id, source="/s", customer="north", front="front-0", **attributes):
+        """Send one trigger on a connection of its own; header values are sent as they are."""
+        headers = {
+            "ce-specversion": "1.0",
+            "ce-id": id,
+            "ce-source": source,
+            "ce-type": "trigger",
+            "ce-tariff": REQUEST_CLASS,
+            "ce-customer": customer,
+            "ce-function": FUNCTION,
+            "content-type": "application/json",
+            **{f"ce-{name}": value for name, value in attributes.items()},
+        }
+        connection = http.client.HTTPConnection("127.0.0.1", self.fronts[front], timeout=WAIT_S)
+        with contextlib.closing(connection):
+            connection.request("POST", "/triggers", json.dumps(asked).encode(), headers)
+            response = connection.getresponse()
+            found = {name.lower(): value for name, value in response.getheaders()}
+            return Reply(response.status, found, response.read())
+
+    def at_once(self, *calls, apart_s=0.3):
+        """Call `post` with each of these arguments in threads, so long after each other; the replies."""
+        replies = [None] * len(calls)
+
+        def one(place, words):
+            replies[place] = self.post(**words)
+
+        threads = [threading.Thread(target=one, args=(place, words)) for place, words in enumerate(calls)]
+        for thread in threads:
+            thread.start()
+            time.sleep(apart_s)
+        for thread in threads:
+            thread.join()
+        return replies
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.registry.close()
