--- a/petrelway/fakes/scenario_processes.py
+++ b/petrelway/fakes/scenario_processes.py
@@ -39,7 +39,7 @@
             + LATE_MS
         )
 
-    def record(self, name: str, reactor, buffer: int = BUFFER_BYTES) -> Record:
+    def record(self, name: str, reactor, *, buffer: int = BUFFER_BYTES) -> Record:
         return Record(str(self.folder / f"{name}.jsonl"), reactor, self.epoch_ms, buffer)
 
 
@@ -150,7 +150,7 @@
 
 
 def play_clients(reactor, plan: Plan, number: int) -> None:
-    record = plan.record(f"clients-{number}", reactor, UNBUFFERED)  # tests read it while the clients run
+    record = plan.record(f"clients-{number}", reactor, buffer=UNBUFFERED)  # read while the clients run
     clients = Clients(reactor, plan.day, plan.ports["fronts"], number, plan.epoch_ms, record)
     clients.start()
     _play(reactor, plan, "client", clients.happen)
--- a/petrelway/scenarios/inmemory.py
+++ b/petrelway/scenarios/inmemory.py
@@ -13,7 +13,7 @@
 from ..daemon.service import Daemon
 from ..fakes.fault_script import write
 from ..fakes.in_memory_network import Process, World
-from ..fakes.records import Record
+from ..fakes.records import UNBUFFERED, Record
 from ..fakes.scenario_processes import play_clients, play_executors, play_services
 from ..routing.router import FrontEnd
 from ..settings.days import check_playable
@@ -86,7 +86,8 @@
         )
         self.records: list[Lines] = []
 
-    def record(self, name: str, reactor) -> Lines:
+    def record(self, name: str, reactor, *, buffer: int = UNBUFFERED) -> Lines:
+        """Return a record in memory, to which every line is added at once, whatever `buffer` says."""
         self.records.append(Lines(name, reactor, self.epoch_ms))
         return self.records[-1]
 
