A key against repeats belongs to its customer and stands for one request

Cause: a worker's deduplication table was keyed by the key's text alone, which any caller words; and front ends joined source and id by a newline that either may hold. Change: the table's key is tenant and text, and with it goes a blake2b fingerprint of function, request class and body; the same key with something else asked is a conflict: it does not run, the front end answers 409. On the wire that is outcome 6 with a new field, which an earlier version skips; the key's text stays as it was, but for % and newlines, which are escaped.

--- a/petrelway/gateway/answers.py
+++ b/petrelway/gateway/answers.py
@@ -18,6 +18,7 @@
     SUCCEEDED = "fulfilled"
     REJECTED = "nacked"  # not carried out, or safe to repeat: the client may try again
     FAILED = "broken off"  # may have run: repeating it may do harm
+    CONFLICT = "conflict"  # its idempotency key belongs to another request of this tenant
 
 
 class Answer(NamedTuple):
--- a/petrelway/gateway/cloudevent_requests.py
+++ b/petrelway/gateway/cloudevent_requests.py
@@ -96,13 +96,22 @@
 
 
 def _idempotency_key(attributes: Mapping[str, str]) -> str:
-    """Join source and id by a newline, which neither holds: otherwise two events could share one key."""
-    key = f"{attributes['source']}\n{attributes['id']}"
+    """Join source and id by a newline, which is escaped in both: no two pairs share one key."""
+    key = f"{_escape_newlines(attributes['source'])}\n{_escape_newlines(attributes['id'])}"
     if len(key) > IDEMPOTENCY_KEY_BOUND:
         raise EventError(400, "id", f"{len(key)} characters with source", f"{IDEMPOTENCY_KEY_BOUND} at most")
     return key
 
 
+def _escape_newlines(text: str) -> str:
+    """Return the text without newlines; different texts stay different.
+
+    >>> _escape_newlines("a\\nb"), _escape_newlines("a%0Ab"), _escape_newlines("/gateway/7")
+    ('a%0Ab', 'a%250Ab', '/gateway/7')
+    """
+    return text.replace("%", "%25").replace("\n", "%0A")
+
+
 def _milliseconds(attributes: Mapping[str, str], name: str, default: float, highest_ms: float) -> float:
     if name not in attributes:
         return default
--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -267,6 +267,8 @@
             executor_name = self.executors.outside_ids[executor]
             answer = Answer(Completion.SUCCEEDED, 0.0, content_type, body, executor_name, Warmth(warmth))
             self._answer(request, answer)
+        elif outcome is Outcome.CONFLICT:
+            self._answer(request, Answer(Completion.CONFLICT))
         now = self.now()
         if self.observer is not None:
             name = self.executors.outside_ids[executor]
--- a/petrelway/gateway/http_responses.py
+++ b/petrelway/gateway/http_responses.py
@@ -13,7 +13,12 @@
 
 from .answers import Answer, Completion
 
-STATUS = {Completion.SUCCEEDED: 200, Completion.REJECTED: 503, Completion.FAILED: 502}
+STATUS = {
+    Completion.SUCCEEDED: 200,
+    Completion.REJECTED: 503,
+    Completion.FAILED: 502,
+    Completion.CONFLICT: 409,
+}
 
 REJECTED_DOCUMENT = json.dumps(
     {"type": "about:blank", "title": "nacked: trying again does no harm", "status": 503}
@@ -21,6 +26,18 @@
 FAILED_DOCUMENT = json.dumps(
     {"type": "about:blank", "title": "broken off: the trigger may have run", "status": 502}
 ).encode()
+CONFLICT_DOCUMENT = json.dumps(
+    {
+        "type": "about:blank",
+        "title": "conflict: this source and id were used for a trigger that asks for something else",
+        "status": 409,
+    }
+).encode()
+DOCUMENTS = {
+    Completion.REJECTED: REJECTED_DOCUMENT,
+    Completion.FAILED: FAILED_DOCUMENT,
+    Completion.CONFLICT: CONFLICT_DOCUMENT,
+}
 
 
 def problem_document(status: int, where: str, found: str, allowed: str) -> bytes:
@@ -52,7 +69,7 @@
         headers.setRawHeaders(b"content-type", [b"application/problem+json"])
         if answer.completion is Completion.REJECTED:
             set_retry_after(request, answer.retry_ms)
-        body = REJECTED_DOCUMENT if answer.completion is Completion.REJECTED else FAILED_DOCUMENT
+        body = DOCUMENTS[answer.completion]
     headers.setRawHeaders(b"content-length", [b"%d" % len(body)])
     request.write(body)
     request.finish()
--- a/petrelway/routing/inputs.py
+++ b/petrelway/routing/inputs.py
@@ -162,7 +162,7 @@
         started_ms = executor.endpoint.started_ms
         if attempt.sent_ms >= started_ms or not started_ms:
             self._learn(now, known, attempt, outcome, took_ms, warmth)
-        if outcome not in (Outcome.SUCCEEDED, Outcome.CANCELLED, Outcome.MISS):
+        if outcome not in (Outcome.SUCCEEDED, Outcome.CANCELLED, Outcome.MISS, Outcome.CONFLICT):
             known.failed_executors.add(executor.endpoint.executor)
         self.ready_queue.append(request)
 
--- a/petrelway/routing/outcomes.py
+++ b/petrelway/routing/outcomes.py
@@ -8,7 +8,7 @@
 from .latency import LatencyTracking
 from .prefetch import Prefetching
 from .state import Attempt, Request
-from .types import Outcome, Warmth
+from .types import SAYS_NOTHING_OF_EXECUTOR, Outcome, Warmth
 
 TENANT_LIMIT_MS = 100.0  # a FULL that took longer was caused by a tenant's limit, not by a full queue ...
 TENANT_BACKOFF_MS = 8000.0  # ... and that tenant is sent elsewhere for this time
@@ -48,7 +48,7 @@
             # some executors refuse a single tenant, and slowly; that says nothing about other tenants
             if took_ms > TENANT_LIMIT_MS and not self._in_process_pause(now):
                 executor.tenant_backoff[request.tenant] = now + TENANT_BACKOFF_MS
-        elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT) and warmth is not Warmth.LOAD_FAILED:
+        elif outcome not in SAYS_NOTHING_OF_EXECUTOR and warmth is not Warmth.LOAD_FAILED:
             self._penalize(executor, now)  # an executor that fails fast would otherwise look idle
 
     def _learn_success(
--- a/petrelway/routing/types.py
+++ b/petrelway/routing/types.py
@@ -47,6 +47,7 @@
     CANCELLED = 6
     UNSENT = 7
     MISS = 8
+    CONFLICT = 9  # the executor knows its idempotency key with another request
 
     @property
     def label(self) -> str:
@@ -64,9 +65,12 @@
     Outcome.CANCELLED: "withdrawn",
     Outcome.UNSENT: "unsent",
     Outcome.MISS: "miss",
+    Outcome.CONFLICT: "conflict",
 }
 
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.MISS))
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.MISS, Outcome.CONFLICT))
+# what says nothing about the executor that an attempt was sent to
+SAYS_NOTHING_OF_EXECUTOR = frozenset((Outcome.CANCELLED, Outcome.UNSENT, Outcome.CONFLICT))
 
 
 class Warmth(IntEnum):
--- a/petrelway/wire/codec.py
+++ b/petrelway/wire/codec.py
@@ -111,12 +111,14 @@
     body: bytes,
 ) -> bytes:
     """Encode how an attempt ended."""
+    conflict = outcome == ExecutorOutcome.CONFLICT
     return frame(
         pb.FromExecutor(
             ended=pb.Ended(
                 serial=serial,
                 number=number,
-                outcome=outcome,
+                outcome=ExecutorOutcome.CANCELLED if conflict else outcome,
+                conflict=conflict,
                 warmth=warmth,
                 crowd=crowd,
                 report=_encode_report(load),
@@ -214,7 +216,7 @@
     listener.ended(
         ended.serial,
         ended.number,
-        ended.outcome,
+        int(ExecutorOutcome.CONFLICT) if ended.conflict else ended.outcome,
         ended.warmth,
         ended.crowd,
         _decode_report(ended.report),
@@ -267,7 +269,7 @@
 
 
 # If an executor could answer UNREACHABLE or UNSENT, a non-idempotent request would run twice.
-EXECUTOR_OUTCOMES = frozenset(map(int, ExecutorOutcome))
+EXECUTOR_OUTCOMES = frozenset(map(int, ExecutorOutcome)) - {int(ExecutorOutcome.CONFLICT)}
 MAX_WARMTH = int(max(ReplicaWarmth))
 
 
--- a/petrelway/wire/outcomes.py
+++ b/petrelway/wire/outcomes.py
@@ -6,13 +6,18 @@
 
 
 class ExecutorOutcome(IntEnum):
-    """How an attempt or a load request ended. The protocol fixes the numbers; routing has more outcomes."""
+    """How an attempt or a load request ended. The protocol fixes the numbers; routing has more outcomes.
+
+    CONFLICT has no number on the wire: there it is CANCELLED with a field beside it, which an older front end
+    skips.
+    """
 
     SUCCEEDED = 0
     ERROR = 1  # it may have run
     FULL = 2  # it did not run: no capacity
     CANCELLED = 6
     MISS = 8  # it did not run: no replica of the function
+    CONFLICT = 9  # it did not run: its idempotency key is known with another request
 
 
 class ReplicaWarmth(IntEnum):
--- a/petrelway/worker/attempts.py
+++ b/petrelway/worker/attempts.py
@@ -69,9 +69,8 @@
     def reject(self, attempt: Attempt, outcome: int, now: float, warmth: int = ReplicaWarmth.UNKNOWN) -> None:
         """Answer an attempt that never ran, and those that attached to it."""
         self.answer(attempt, outcome, warmth)
-        if attempt.is_keyed:
-            key = attempt.idempotency_key
-            for repeat in self.state.deduplication.complete(key, False, b"", now):
+        if attempt.identity is not None:
+            for repeat in self.state.deduplication.complete(attempt.identity.key, False, b"", now):
                 self.close(repeat)
                 self.answer(repeat, outcome, warmth)
 
@@ -82,26 +81,27 @@
         if not attempt.closed:
             self.close(attempt)
             self.answer(attempt, outcome, attempt.warmth, answer)
-        if attempt.is_keyed:
+        if attempt.identity is not None:
             warmth = ReplicaWarmth.WARM if succeeded else ReplicaWarmth.UNKNOWN
-            key = attempt.idempotency_key
+            key = attempt.identity.key
             for repeat in self.state.deduplication.complete(key, succeeded, body, now):
                 self.close(repeat)
                 self.answer(repeat, outcome, warmth, answer)
 
     def promote_repeat(self, attempt: Attempt, now: float) -> None:
         """Queue the first repeat of a keyed attempt that was cancelled before it ran, in its place."""
-        if not attempt.is_keyed:
+        identity = attempt.identity
+        if identity is None:
             return
         deduplication = self.state.deduplication
-        repeats = deduplication.complete(attempt.idempotency_key, False, b"", now)
+        repeats = deduplication.complete(identity.key, False, b"", now)
         if not repeats:
             return
         successor = repeats[0]
         successor.warmth = attempt.warmth
         self.state.attempts.pop(successor.key, None)
         for repeat in repeats:
-            deduplication.register(repeat.idempotency_key, repeat, now, repeat.deduplication_window_ms)
+            deduplication.register(identity, repeat, now, repeat.deduplication_window_ms)
         self.enqueue(successor)
 
     def pop_expired(self, now: float) -> Attempt | None:
--- a/petrelway/worker/call_scheduler.py
+++ b/petrelway/worker/call_scheduler.py
@@ -20,6 +20,7 @@
 from .load_requests import LoadRequestTable
 from .replica_loader import ReplicaLoader
 from .replica_pool import ReplicaPool
+from .request_identity import RequestIdentity
 from .scheduler_state import Attempt, AttemptKey, SchedulerConfig, SchedulerState
 
 EXPIRY_INTERVAL_MS = 500.0  # how often idle replicas, requests and entries are looked through
@@ -55,14 +56,14 @@
         if state.draining:
             self.attempts.answer(attempt, ExecutorOutcome.FULL)
             return
-        if attempt.is_keyed and self._deduplicate(attempt, now):
+        if attempt.identity is not None and self._deduplicate(attempt, attempt.identity, now):
             return
         self._admit(attempt, now)
 
-    def _deduplicate(self, attempt: Attempt, now: float) -> bool:
-        """Return whether the attempt is a repeat, which is answered or attached to the first one."""
+    def _deduplicate(self, attempt: Attempt, identity: RequestIdentity, now: float) -> bool:
+        """Return whether the attempt is dealt with: answered, attached to the first one, or in conflict."""
         admission, answer = self.state.deduplication.register(
-            attempt.idempotency_key, attempt, now, attempt.deduplication_window_ms
+            identity, attempt, now, attempt.deduplication_window_ms
         )
         if admission is Admission.ANSWERED:
             self.state.counts["repeat answered"] += 1
@@ -70,6 +71,9 @@
         elif admission is Admission.WAIT:
             self.state.counts["repeat attached"] += 1
             self.attempts.open(attempt)
+        elif admission is Admission.CONFLICT:
+            self.state.counts["key conflict"] += 1
+            self.attempts.answer(attempt, ExecutorOutcome.CONFLICT)
         return admission is not Admission.RUN
 
     def _admit(self, attempt: Attempt, now: float) -> None:
@@ -261,12 +265,13 @@
             self.attempts.promote_repeat(attempt, now)
         elif attempt.call_id >= 0:
             self._stop_call_of(attempt, now)
-        elif attempt.is_keyed:
-            self.state.deduplication.detach(attempt.idempotency_key, attempt)
+        elif attempt.identity is not None:
+            self.state.deduplication.detach(attempt.identity.key, attempt)
         self.state.needs_placement = True
 
     def _stop_call_of(self, attempt: Attempt, now: float) -> None:
-        if attempt.is_keyed and self.state.deduplication.is_awaited(attempt.idempotency_key):
+        identity = attempt.identity
+        if identity is not None and self.state.deduplication.is_awaited(identity.key):
             return  # a repeat that attached still waits for this one's effect
         for replica in self.state.replicas_of.get(attempt.function, {}).values():
             if attempt.call_id in replica.calls:
--- a/petrelway/worker/front_end_connection.py
+++ b/petrelway/worker/front_end_connection.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from twisted.internet import interfaces, protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from ..common import attempt_parameter
 from ..wire import codec
 from ..wire.framing import Frames, WireError
 from .actions import Action
+from .request_identity import identify
 from .scheduler_state import Attempt
 
 if TYPE_CHECKING:
@@ -111,18 +112,22 @@
         worker = self.worker
         if worker.record is not None:
             sender = {"fe": self.front_end, "fp": self.process, "s": serial, "n": number}
-            client_attempt = _client_attempt(body)
-            worker.note("recv", **sender, m=idempotency_key, r=client_attempt, f=request_class, fn=function)
+            attempt_number = attempt_parameter.attempt_number(content_type)
+            worker.note("recv", **sender, m=idempotency_key, r=attempt_number, f=request_class, fn=function)
+        window_ms = worker.deduplication_windows_ms.get(request_class, 0.0)
+        identity = None
+        if window_ms > 0.0:
+            identity = identify(tenant, idempotency_key, function, request_class, body)
         attempt = Attempt(
             front_end=self,
             serial=serial,
             number=number,
-            idempotency_key=idempotency_key,
             function=function,
             memory_mb=memory_mb,
             concurrency=concurrency,
-            deduplication_window_ms=worker.deduplication_windows_ms.get(request_class, 0.0),
             body=body,
+            identity=identity,
+            deduplication_window_ms=window_ms,
         )
         worker.submit(worker.scheduler.attempt_received, attempt, remaining_ms)
 
@@ -169,11 +174,3 @@
         """Send how a load request ended; nothing once the connection is closed."""
         if self.connected:
             self.transport.write(codec.load_request_ended(action.serial, action.outcome, action.number))
-
-
-def _client_attempt(body: bytes) -> int:
-    """Return which attempt of theirs it is, which a scenario's clients say in the body; 0 if they don't."""
-    try:
-        return int(json.loads(body)["try"])
-    except (ValueError, KeyError, TypeError):
-        return 0
--- a/petrelway/worker/scheduler_state.py
+++ b/petrelway/worker/scheduler_state.py
@@ -12,6 +12,7 @@
 from .eviction import EvictionRanking
 from .load_scheduler import LoadScheduler
 from .memory_budget import MemoryBudget
+from .request_identity import RequestIdentity
 
 LOAD_TIME_GAIN = 0.3  # weight of the newest load time in a function's average
 
@@ -47,12 +48,12 @@
     front_end: Any
     serial: int
     number: int
-    idempotency_key: str
     function: str
     memory_mb: float
     concurrency: int
-    deduplication_window_ms: float  # 0: the request class has no idempotency keys
     body: bytes
+    identity: RequestIdentity | None = None  # None: the request class has no idempotency keys
+    deduplication_window_ms: float = 0.0
     deadline_ms: float = 0.0  # set when the scheduler receives it
     warmth: int = ReplicaWarmth.UNKNOWN
     crowd: int = 0
@@ -64,11 +65,6 @@
         """Return what identifies it."""
         return AttemptKey(self.front_end, self.serial, self.number)
 
-    @property
-    def is_keyed(self) -> bool:
-        """Say whether repeats of it are deduplicated."""
-        return self.deduplication_window_ms > 0.0
-
 
 @dataclass(slots=True, eq=False)
 class Replica:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -37,6 +37,7 @@
         codec.ended(7, 1, 0, 1, 4, LOAD, "text/plain", b"ok"),
         ("ended", 7, 1, 0, 1, 4, LOAD, "text/plain", b"ok"),
     ),
+    (codec.ended(7, 1, 9, 0, 0, LOAD, "", b""), ("ended", 7, 1, 9, 0, 0, LOAD, "", b"")),
     (codec.load_request_ended(3, 2, 1), ("load_request_ended", 3, 2, 1)),
     (codec.probed(9, LOAD), ("probed", 9, LOAD)),
 ]
@@ -75,6 +76,8 @@
         (pb.FromFront(send=pb.Send(remaining_ms=-1.0)).SerializeToString(), codec.from_front, "0 or more"),
         # an executor that could answer UNSENT or UNREACHABLE would make a non-idempotent request run twice
         (pb.FromExecutor(ended=pb.Ended(outcome=4)).SerializeToString(), codec.from_executor, "may not say"),
+        # a conflict is CANCELLED with a field beside it: a front end of an earlier version reads it too
+        (pb.FromExecutor(ended=pb.Ended(outcome=9)).SerializeToString(), codec.from_executor, "may not say"),
         (pb.FromExecutor(ended=pb.Ended(outcome=7)).SerializeToString(), codec.from_executor, "may not say"),
         (pb.FromExecutor(ended=pb.Ended(warmth=5)).SerializeToString(), codec.from_executor, "warmth 5"),
         (pb.FromExecutor(stood=pb.Stood(outcome=99)).SerializeToString(), codec.from_executor, "may not say"),
