--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -22,6 +22,7 @@
 REQUEST_CLASS = "stamped"
 DEADLINE_MS = 8000.0
 WINDOW_MS = 20_000.0
+SMALL_WINDOW_BYTES = 1 << 15
 # The answer says what this very body asked for, and counts how often the function ran in its process.
 ENTRY = """
 import json, time
@@ -58,6 +59,23 @@
     return found
 
 
+def read_slowly(sock, bytes_per_s):
+    """Read until the other side closes, at most so fast; the bytes."""
+    data = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while part := sock.recv(1 << 14):
+            data += part
+            time.sleep(len(part) / bytes_per_s)
+    return bytes(data)
+
+
+def body_of(response):
+    """The body of an HTTP response that is all that was read, and the length that its head told."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    told = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+    return body, int(told[0].partition(b":")[2])
+
+
 def free_port():
     with socket.create_server(("127.0.0.1", 0)) as sock:
         return sock.getsockname()[1]
@@ -78,13 +96,20 @@
         self.lock = threading.Lock()
         self.server = socket.create_server(("127.0.0.1", 0))
         self.port = self.server.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.connections, self.threads = [], []
+        self._in_thread(self._accept)
+
+    def _in_thread(self, function, *arguments):
+        thread = threading.Thread(target=function, args=arguments, daemon=True)
+        self.threads.append(thread)
+        thread.start()
 
     def _accept(self):
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self.server.accept()
-                threading.Thread(target=self._follow, args=(sock,), daemon=True).start()
+                self.connections.append(sock)
+                self._in_thread(self._follow, sock)
 
     def _follow(self, sock):
         frames = Frames()
@@ -105,8 +130,13 @@
                     sock.sendall(registry_codec.listed(self.serial, False, [entry]))
 
     def close(self):
-        self.server.close()
-        for sock in self.followers:
+        """End all threads: a close alone would not wake what waits for a socket."""
+        for sock in (self.server, *self.connections):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        for thread in list(self.threads):
+            thread.join(WAIT_S)
+        for sock in (self.server, *self.connections):
             sock.close()
 
 
@@ -158,7 +188,7 @@
         self.registry.tell(name, port)
         return process
 
-    def start_front_end(self, name="front-0"):
+    def start_front_end(self, name="front-0", deadline_ms=DEADLINE_MS):
         port = self.fronts[name] = free_port()
         file = self.folder / f"{name}.json"
         request_class = {
@@ -166,8 +196,8 @@
             "effect": "stamped",
             "scope": "all",
             "window_ms": WINDOW_MS,
-            "quoted_ms": DEADLINE_MS,
-            "outer_ms": DEADLINE_MS,
+            "quoted_ms": deadline_ms,
+            "outer_ms": deadline_ms,
         }
         settings = {
             "front_end": {"name": name, "hall": "a"},
@@ -209,6 +239,21 @@
             found = {name.lower(): value for name, value in response.getheaders()}
             return Reply(response.status, found, response.read())
 
+    def slow_client(self, asked, id, front="front-0"):
+        """Send one trigger through a socket with a small receive window; the caller reads its answer."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+        sock.settimeout(WAIT_S)
+        sock.connect(("127.0.0.1", self.fronts[front]))
+        body = json.dumps(asked).encode()
+        head = (
+            "POST /triggers HTTP/1.1\r\nHost: x\r\nce-specversion: 1.0\r\nce-source: /s\r\nce-type: x\r\n"
+            f"ce-id: {id}\r\nce-tariff: {REQUEST_CLASS}\r\nce-customer: north\r\nce-function: {FUNCTION}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        sock.sendall(head.encode() + body)
+        return sock
+
     def at_once(self, *calls, apart_s=0.3):
         """Call `post` with each of these arguments in threads, so long after each other; the replies."""
         replies = [None] * len(calls)
