--- a/petrelway/console/serving.py
+++ b/petrelway/console/serving.py
@@ -101,7 +101,7 @@
         self.request_timeouts.watch(channel, self._connection_closed)
         return channel
 
-    def _connection_closed(self) -> None:
+    def _connection_closed(self, transport: interfaces.ITransport) -> None:
         self.connections -= 1
 
     def _request_timed_out(self, transport: interfaces.ITransport) -> None:
--- a/petrelway/gateway/http_listener.py
+++ b/petrelway/gateway/http_listener.py
@@ -15,6 +15,7 @@
 from twisted.web import resource, server
 
 from ..events.single import Event, EventError, read
+from ..sockets.answer_flush import AnswerFlush
 from .answers import Answer, Completion
 from .cloudevent_requests import CloudEventReader, ReceivedRequest
 from .http_request_timeout import REQUEST_TIMEOUT_S, RequestTimeouts, TimedRequest
@@ -114,6 +115,7 @@
         )
         self.displayTracebacks = False
         self.request_timeouts = RequestTimeouts(self.reactor, self._request_timed_out)
+        self.answer_flush = AnswerFlush(self.reactor)
 
     def buildProtocol(self, address):
         """Accept a connection and count it; beyond the bound return None, which closes it at once."""
@@ -125,8 +127,9 @@
         self.request_timeouts.watch(channel, self._connection_closed)
         return channel
 
-    def _connection_closed(self) -> None:
+    def _connection_closed(self, transport: interfaces.ITransport) -> None:
         self.connections -= 1
+        self.answer_flush.closed(transport)
 
     def _request_timed_out(self, transport: interfaces.ITransport) -> None:
         self.count_refused(408)
@@ -207,23 +210,28 @@
         return retry_ms if retry_ms > 0.0 else listener.overload_retry_ms()
 
     def _accept(self, request: server.Request, received: ReceivedRequest, event: Event) -> None:
+        deadline_s = self.listener.reactor.seconds() + received.remaining_ms / 1e3
         answer = self.listener.accept(received, event.content_type, event.data)
         client_left = request.notifyFinish()
         client_left.addErrback(lambda _: answer.cancel())
         answer.addCallbacks(
-            self._answered, self._answer_failed, callbackArgs=(request,), errbackArgs=(request,)
+            self._answered,
+            self._answer_failed,
+            callbackArgs=(request, deadline_s),
+            errbackArgs=(request, deadline_s),
         )
 
-    def _answered(self, answer: Answer, request: server.Request) -> None:
+    def _answered(self, answer: Answer, request: server.Request, deadline_s: float) -> None:
         if not request._disconnected:
+            self.listener.answer_flush.answered(request.channel.transport, deadline_s)
             write_answer(request, answer)
 
-    def _answer_failed(self, failure, request: server.Request) -> None:
+    def _answer_failed(self, failure, request: server.Request, deadline_s: float) -> None:
         if failure.check(defer.CancelledError):
             return  # the client has left
         self.listener.logger.error("answer failed", error=failure.getErrorMessage())
         if not request._disconnected:
-            self._answered(Answer(Completion.FAILED), request)
+            self._answered(Answer(Completion.FAILED), request, deadline_s)
 
     def _reject(self, request: server.Request, retry_ms: float) -> bytes:
         self.listener.count_refused(503)
--- a/petrelway/gateway/http_request_timeout.py
+++ b/petrelway/gateway/http_request_timeout.py
@@ -63,7 +63,7 @@
         self.expired = expired
         self.timeouts: dict[interfaces.ITransport, RequestTimeout] = {}
 
-    def watch(self, channel, closed: Callable[[], None]) -> None:
+    def watch(self, channel, closed: Callable[[interfaces.ITransport], None]) -> None:
         """Bound the requests of a channel that a site has built; call `closed` when its connection ends."""
         connected, received, lost = channel.makeConnection, channel.dataReceived, channel.connectionLost
 
@@ -77,7 +77,7 @@
             def connection_lost(reason=None):
                 timeout.cancel()
                 del self.timeouts[transport]
-                closed()
+                closed(transport)
                 return lost(reason)
 
             self.timeouts[transport] = timeout
--- a/petrelway/gateway/service.py
+++ b/petrelway/gateway/service.py
@@ -29,7 +29,7 @@
 BACKLOG = 512  # connections that wait in the listening socket's queue
 CLOCK_CHECK_S = 1.0  # interval of the checks for steps of the wall clock
 SHUTDOWN_SLACK_MS = 500.0  # shutdown waits this long past the longest deadline for unanswered requests
-FLUSH_S = 0.05  # time for the last answers to leave their transports
+REJECTION_FLUSH_S = 0.05  # time for the last rejections, a few hundred bytes each, to leave their transports
 
 
 class FrontEndService(service.Service):
@@ -240,13 +240,16 @@
         The returned Deferred fires when the shutdown is complete."""
         super().stopService()
         unanswered = self.dispatcher.unanswered
+        until_s = self.reactor.seconds() + (self.active_policy.longest_ms + SHUTDOWN_SLACK_MS) / 1e3
         self.log.info("front end leaves", unanswered=unanswered)
         self.http_listener.draining = True  # requests on kept-alive connections are rejected from now on
         yield defer.maybeDeferred(self.port.stopListening)
         if self.policy is not None:
             self.policy.leave()
-        yield self._wait_for_answers()
-        yield self._wait_for_flush()
+        yield self._wait_for_answers(until_s)
+        yield self.http_listener.answer_flush.wait(until_s)
+        yield self._wait_for_last_rejections()
+        unread = self.http_listener.answer_flush.unread()
         self.registry_client.close()
         if self.clock_check is not None and self.clock_check.active():
             self.clock_check.cancel()
@@ -258,16 +261,16 @@
         self.log.info(
             "front end left",
             answered=unanswered,
+            unread=unread,
             counts=dict(sorted(self.dispatcher.counts.items())),
             deciding_ms=round(self.dispatcher.deciding_s * 1e3, 3),
         )
 
     @defer.inlineCallbacks
-    def _wait_for_answers(self):
-        """Wait until all open requests are answered, at most SHUTDOWN_SLACK_MS past the longest deadline."""
+    def _wait_for_answers(self, until_s: float):
+        """Wait until all open requests are answered, at most until SHUTDOWN_SLACK_MS past every deadline."""
         wait = self.dispatcher.all_answered()
-        longest_ms = self.active_policy.longest_ms + SHUTDOWN_SLACK_MS
-        timer = self.reactor.callLater(longest_ms / 1e3, wait.cancel)
+        timer = self.reactor.callLater(max(0.0, until_s - self.reactor.seconds()), wait.cancel)
         try:
             yield wait
         except defer.CancelledError:
@@ -276,8 +279,8 @@
             if timer.active():
                 timer.cancel()
 
-    def _wait_for_flush(self) -> defer.Deferred:
-        """Return a Deferred that fires a turn or two later: time for the last answers to be flushed."""
+    def _wait_for_last_rejections(self) -> defer.Deferred:
+        """Return a Deferred that fires a turn or two later: time to flush what was rejected meanwhile."""
         flushed: defer.Deferred = defer.Deferred()
-        self.reactor.callLater(FLUSH_S, flushed.callback, None)
+        self.reactor.callLater(REJECTION_FLUSH_S, flushed.callback, None)
         return flushed
