A worker and a store that end wait until their last answers are received

On real processes a front end that reads 3.2 MB/s got 3 of 8 answers of 800 KB after the worker's SIGTERM, and a worker a part of a package of 6 MB after the store's. Cause: handed over was taken for done. Change: both use sockets/answer_flush.py, the worker for 5 s at most (as a front end that takes no bytes has while it runs; count `front ends that did not read`), the store for 10 s at most.

--- a/petrelway/commands/worker.py
+++ b/petrelway/commands/worker.py
@@ -126,7 +126,7 @@
 def serve_store(folder: str, port: int, takes: int, limit: int, fetch_ms: float) -> None:
     """Serve the packages (*.tar) in FOLDER by name and digest on loopback."""
     from ..common.process_clock import steady_reactor
-    from ..fakes.package_store import Shelf, site
+    from ..fakes.package_store import Shelf, finish_fetches, site
     from ..worker.package import PackageError
 
     reactor = steady_reactor()
@@ -137,7 +137,9 @@
     except PackageError as fault:
         click.echo(str(fault), err=True)
         sys.exit(2)
-    reactor.listenTCP(port, site(shelf, reactor), interface="127.0.0.1")
+    listening = reactor.listenTCP(port, site(shelf, reactor), interface="127.0.0.1")
+    reactor.addSystemEventTrigger("before", "shutdown", listening.stopListening)
+    reactor.addSystemEventTrigger("before", "shutdown", finish_fetches, shelf)
     click.echo(f"{len(shelf.names)} names, {len(shelf.files)} packages")
     reactor.run()
 
--- a/petrelway/fakes/package_store.py
+++ b/petrelway/fakes/package_store.py
@@ -13,12 +13,15 @@
 from collections import Counter
 from pathlib import Path
 
-from twisted.internet import defer
+from twisted.internet import defer, interfaces
 from twisted.web import resource, server
 
+from ..sockets.answer_flush import AnswerFlush
 from ..worker.package import check, digest_of
 
 PIECE = 1 << 16
+DRAIN_LIMIT_S = 10.0  # for fetches under way when the store is stopped; a worker asks again for the rest
+DRAIN_CHECK_MS = 20.0
 FAULTS = ("slow", "stall", "wrong bytes", "reset", "down", "cut")
 
 
@@ -45,6 +48,7 @@
         self.down_until = 0.0
         self.fault, self.amount, self.faults_left, self.broken = "", 0.0, 0, ""
         self.counts: Counter[str] = Counter()
+        self.transports: set[interfaces.ITransport] = set()  # of the fetches that may still be on their way
         self.heard = lambda digest: None  # of each fetch that begins
 
     def put(self, file: Path, name: str | None = None) -> str:
@@ -87,6 +91,18 @@
             self.down_until = self.reactor.seconds() * 1e3 + self.down_ms
 
 
+@defer.inlineCallbacks
+def finish_fetches(shelf: Shelf):
+    """Wait until the fetches under way have been sent and received, DRAIN_LIMIT_S at most."""
+    until_s = shelf.reactor.seconds() + DRAIN_LIMIT_S
+    while shelf.in_hand and shelf.reactor.seconds() < until_s:
+        yield _pause(shelf, DRAIN_CHECK_MS)
+    flush = AnswerFlush(shelf.reactor)
+    for transport in shelf.transports:
+        flush.answered(transport, until_s)
+    yield flush.wait(until_s)
+
+
 class Names(resource.Resource):
     isLeaf = True
 
@@ -142,6 +158,8 @@
         shelf.counts["fetches"] += 1
         shelf.heard(digest[:16])
         shelf.in_hand += 1
+        shelf.transports = {transport for transport in shelf.transports if transport.connected}
+        shelf.transports.add(request.channel.transport)
         shelf.pushed()
         gone: list[bool] = []
         request.notifyFinish().addErrback(lambda _: gone.append(True))
--- a/petrelway/sockets/answer_flush.py
+++ b/petrelway/sockets/answer_flush.py
@@ -11,7 +11,7 @@
 import termios
 from collections.abc import Iterator
 
-from twisted.internet import defer, interfaces
+from twisted.internet import abstract, defer, interfaces
 
 CHECK_INTERVAL_S = 0.02
 UNACKNOWLEDGED = getattr(termios, "TIOCOUTQ", None)  # Linux: bytes that the other system has not confirmed
@@ -22,10 +22,10 @@
     """Return how many bytes the transport and the system hold that the other side's system has not received.
 
     0 for a connection that has ended, and for a transport that does not tell."""
-    buffered_bytes = getattr(transport, "buffered_bytes", None)
-    if buffered_bytes is None or not transport.connected:
+    if not isinstance(transport, abstract.FileDescriptor) or not transport.connected:
         return 0
-    return buffered_bytes() + _unacknowledged_bytes(transport.fileno())
+    buffered_bytes = len(transport.dataBuffer) + transport._tempDataLen
+    return buffered_bytes + _unacknowledged_bytes(transport.fileno())
 
 
 def _unacknowledged_bytes(descriptor: int) -> int:
--- a/petrelway/worker/service.py
+++ b/petrelway/worker/service.py
@@ -14,10 +14,11 @@
 from twisted.application import service
 from twisted.internet import defer, protocol, threads
 
+from ..sockets.answer_flush import AnswerFlush
 from ..sockets.listening import listen_tcp
 from .actions import Action, ActionKind
 from .call_scheduler import CallScheduler
-from .front_end_connection import FrontEndConnectionProtocol
+from .front_end_connection import BLOCKED_TIMEOUT_MS, FrontEndConnectionProtocol
 from .memory_measurement import measure
 from .package_cache import PackageCache
 from .package_fetch import FetchError, PackageStoreClient
@@ -216,6 +217,7 @@
         self.submit(self.scheduler.drain)
         yield self._wait_until_drained()
         yield self._pause(LAST_ANSWERS_S)
+        unread = yield self._wait_for_flush()
         self.closing = True
         yield defer.maybeDeferred(self.port.stopListening)
         self._cancel_timers()
@@ -228,8 +230,21 @@
         while self.host.replicas:
             yield self._pause(REPLICAS_ENDED_POLL_S)
         self.note("down", why="left")
+        self.counts["front ends that did not read"] = unread
         self._log_counts()
 
+    @defer.inlineCallbacks
+    def _wait_for_flush(self):
+        """Wait until the front ends have received their last answers; return how many have not.
+
+        A front end has as long as it has while it takes no bytes and the worker runs."""
+        flush = AnswerFlush(self.reactor)
+        until_s = self.reactor.seconds() + BLOCKED_TIMEOUT_MS / 1e3
+        for connection in self.connections:
+            flush.answered(connection.transport, until_s)
+        yield flush.wait(until_s)
+        return flush.unread()
+
     @defer.inlineCallbacks
     def _wait_until_drained(self):
         """Wait until nothing runs, but not past the last deadline."""
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -23,6 +24,7 @@
 DEADLINE_MS = 8000.0
 WINDOW_MS = 20_000.0
 SMALL_WINDOW_BYTES = 1 << 15
+PACKAGE_BYTES = 6 << 20  # more than the system holds for a connection whose other side reads slowly
 # The answer says what this very body asked for, and counts how often the function ran in its process.
 ENTRY = """
 import json, time
@@ -59,6 +61,15 @@
     return found
 
 
+def narrow_connection(port):
+    """Connect with a small receive window, so that most of an answer waits at its sender."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+    sock.settimeout(WAIT_S)
+    sock.connect(("127.0.0.1", port))
+    return sock
+
+
 def read_slowly(sock, bytes_per_s):
     """Read until the other side closes, at most so fast; the bytes."""
     data = bytearray()
@@ -147,6 +158,7 @@
         self.folder = folder
         self.processes = []
         self.fronts = {}  # port by name
+        self.worker_ports = {}
         self.registry = Registry()
         self.store_port = free_port()
         self._build_package()
@@ -159,8 +171,10 @@
         manifest = {"name": FUNCTION, "version": "1", "entry": "main:entry", "memory_mb": 40, "lanes": 8}
         (source / "manifest.json").write_text(json.dumps(manifest))
         (source / "main.py").write_text(ENTRY)
+        (source / "filling").write_bytes(os.urandom(PACKAGE_BYTES))
         (self.folder / "packages").mkdir()
-        build(source, self.folder / "packages" / f"{FUNCTION}.tar")
+        self.package = self.folder / "packages" / f"{FUNCTION}.tar"
+        build(source, self.package)
 
     def _start(self, name, *words):
         with open(self.folder / f"{name}.err", "ab") as err:
@@ -171,7 +185,7 @@
         return process
 
     def start_worker(self, name="worker-0"):
-        port = free_port()
+        port = self.worker_ports[name] = free_port()
         file = self.folder / f"{name}.json"
         settings = {
             "worker": {"name": name, "machine": "box"},
@@ -241,10 +255,7 @@
 
     def slow_client(self, asked, id, front="front-0"):
         """Send one trigger through a socket with a small receive window; the caller reads its answer."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
-        sock.settimeout(WAIT_S)
-        sock.connect(("127.0.0.1", self.fronts[front]))
+        sock = narrow_connection(self.fronts[front])
         body = json.dumps(asked).encode()
         head = (
             "POST /triggers HTTP/1.1\r\nHost: x\r\nce-specversion: 1.0\r\nce-source: /s\r\nce-type: x\r\n"
