Red tests: a second copy of an answer ends the next attempt of its request

On the real process an executor answers a miss, gets the request again on the same connection, and a second copy of the miss, 12 ms late, ends that attempt as "it never ran": the request is sent a third time, runs twice and is nacked, in all three classes.

--- a/tests/test_executor_pool.py
+++ b/tests/test_executor_pool.py
@@ -69,8 +69,8 @@
     def up(self):
         return self.net.accept()
 
-    def send(self, serial, number=0, id=None):
-        opaque_request = OpaqueRequest(id or call(serial), "safe", FUNCTION, "", b"in")
+    def send(self, serial, number=0, id=None, opaque_request=None):
+        opaque_request = opaque_request or OpaqueRequest(id or call(serial), "safe", FUNCTION, "", b"in")
         self.pool.send((serial, number), "", FUNCTION, 0.0, 1, "safe", "acme", 900.0, 0.0, "", opaque_request)
 
     def fill(self, *serials):
@@ -194,6 +194,56 @@
     assert rig.ended() == [((5, 1), Outcome.SUCCEEDED)]
 
 
+def test_a_second_copy_of_an_answer_does_not_end_the_next_attempt_of_its_request():
+    """All attempts of a request carry its id, so none goes where an earlier one was answered."""
+    rig = Rig(room=2)
+    first, pipe = rig.up()
+    opaque_request = OpaqueRequest(call(5), "once", FUNCTION, "", b"in")
+    rig.send(5, 0, opaque_request=opaque_request)
+    first.dataReceived(answer(102, call(5)))
+    pipe.take()
+    rig.send(5, 1, opaque_request=opaque_request)
+    assert pipe.take() == b""
+    second, _ = rig.up()
+    first.dataReceived(answer(102, call(5)))
+    assert rig.ended() == [((5, 0), Outcome.MISS)] and rig.budget.counts["unmatched answers"] == 1
+    second.dataReceived(answer(103, call(5)))
+    assert rig.ended() == [((5, 1), Outcome.FULL)]
+    rig.send(6)  # another request may use either
+    for connection in (first, second):
+        connection.dataReceived(answer(100, call(6)))
+    assert rig.ended() == [((6, 0), Outcome.SUCCEEDED)]
+
+
+def test_a_request_that_all_connections_have_had_gets_one_of_its_own():
+    """Guard against a request that can't go to its executor again, as there is no room for another dial."""
+    rig = Rig(room=1)
+    first, pipe = rig.up()
+    opaque_request = OpaqueRequest(call(5), "once", FUNCTION, "", b"in")
+    rig.send(5, 0, opaque_request=opaque_request)
+    rig.send(6)
+    first.dataReceived(answer(102, call(5)))
+    rig.send(5, 1, opaque_request=opaque_request)
+    assert rig.ended() == [((5, 0), Outcome.MISS), ((5, 1), Outcome.UNSENT)]  # another attempt is open there
+    first.dataReceived(answer(100, call(6)))
+    rig.send(5, 2, opaque_request=opaque_request)
+    assert pipe.closed
+    second, _ = rig.up()
+    second.dataReceived(answer(100, call(5)))
+    assert rig.ended() == [((6, 0), Outcome.SUCCEEDED), ((5, 2), Outcome.SUCCEEDED)]
+
+
+def test_an_attempt_that_was_never_written_leaves_its_connection_free():
+    """Guard against a connection that counts as used though nothing of the request went out on it."""
+    rig = Rig(room=1)
+    opaque_request = OpaqueRequest(call(5), "once", FUNCTION, "", b"in")
+    rig.send(5, 0, opaque_request=opaque_request)  # waits for the dial
+    rig.pool.cancel_attempt((5, 0))
+    rig.send(5, 1, opaque_request=opaque_request)
+    connection, pipe = rig.up()
+    assert [c[1] for c in commands(pipe.take())] == [call(5)]
+
+
 def test_duplicate_answers_and_unknown_ids_are_dropped_and_counted():
     rig = Rig()
     connection, _ = rig.up()
