A further attempt of a request goes out on a connection that has not had it

Cause: all attempts of a request carry one id, and a connection took an id again once it was answered, so a second copy of a miss ended the next attempt as "it never ran". Where no connection is left and none may be dialled, one on which nothing is in flight is closed for a new one.

A repeat at the same executor costs one dial more.

--- a/petrelway/node/connection_set.py
+++ b/petrelway/node/connection_set.py
@@ -53,11 +53,17 @@
         self.buffers = buffers if buffers is not None else BufferPool(DEFAULT_BUFFERS_BYTES)
         self.read_gate = read_gate
         self.counts: Counter[str] = Counter()
+        self.last_connection_number = 0
 
     def has_capacity(self) -> bool:
         """Whether one more connection may be dialled."""
         return self.used < self.bound
 
+    def next_connection_number(self) -> int:
+        """Return a number that no other connection of this process has."""
+        self.last_connection_number += 1
+        return self.last_connection_number
+
 
 class AttemptLocation(NamedTuple):
     """The connection that an attempt is on, its id there, and since when it is there."""
--- a/petrelway/node/executor_connection.py
+++ b/petrelway/node/executor_connection.py
@@ -44,6 +44,7 @@
     def __init__(self, pool: ConnectionSet, now: float) -> None:
         """Start with nothing in flight; the pool dials."""
         self.pool = pool
+        self.number = pool.budget.next_connection_number()
         self.ledger = AttemptLedger(pool.streams)
         self.reader = executor_codec.ExecutorFrameReader(self)
         self.waiting: dict[AttemptKey, OpaqueRequest] = {}  # not written to the transport yet
@@ -218,6 +219,16 @@
         """Whether a further attempt has to share: with an open one, or with an answer that is under way."""
         return bool(self.open_attempts) or self.reader.has_partial_frame()
 
+    def is_resting(self) -> bool:
+        """Whether it is up and nothing is in flight on it, in either direction."""
+        return self.up and not self.paused and not self.in_use() and not self.questions
+
+    def can_take(self, request: OpaqueRequest) -> bool:
+        """Whether no answer to another attempt under the request's id can come on this connection.
+
+        That includes a further answer to an attempt that has been answered."""
+        return self.number not in request.written_to and not self.is_id_taken(request.request_id)
+
     def is_id_taken(self, id: bytes) -> bool:
         """Whether this id is in use, or was abandoned, on this connection."""
         return id in self.open_attempts or id in self.abandoned_ids or id in self.questions
@@ -234,7 +245,9 @@
         """Write the attempt that has waited longest."""
         key = self.ledger.hand_over()
         self.used_ms = self.pool.now()
-        self.transport.write(executor_codec.encode_send(self.waiting.pop(key), remaining_ms))
+        request = self.waiting.pop(key)
+        request.written_to += (self.number,)
+        self.transport.write(executor_codec.encode_send(request, remaining_ms))
 
     def abandon_id(self, id: bytes) -> None:
         """Exclude an id from further use on this connection.
--- a/petrelway/node/executor_pool.py
+++ b/petrelway/node/executor_pool.py
@@ -47,7 +47,7 @@
         body: OpaqueRequest,
     ) -> None:
         """Send an attempt to the executor, at once or when its connection is up."""
-        connection = None if self.closed else self._choose_connection(body.request_id)
+        connection = None if self.closed else self._choose_connection(body)
         if connection is None:
             self._report_unsent(key)
             return
@@ -63,7 +63,7 @@
         outcome = Outcome.UNREACHABLE if down and not self.closed else Outcome.UNSENT
         self.report_unanswered(key, outcome)
 
-    def _choose_connection(self, request_id: bytes) -> ExecutorConnectionProtocol | None:
+    def _choose_connection(self, request: OpaqueRequest) -> ExecutorConnectionProtocol | None:
         """Choose a connection for an attempt, or None.
 
         The order of preference is: the connection not in use that received a byte last, a new one, the least
@@ -72,7 +72,7 @@
         idle = None
         shared = None
         for connection in self.connections:
-            if not self._can_take_attempt(connection, request_id):
+            if not self._can_take_attempt(connection, request):
                 continue
             if not connection.in_use():  # also one being dialled: another dial would not complete sooner
                 if idle is None or connection.idle_rank() < idle.idle_rank():
@@ -81,13 +81,22 @@
                 shared = connection
         if idle is not None:
             return idle
+        if shared is None and not self.budget.has_capacity():
+            self._make_room_for_dial(request.request_id)
         if self._may_dial():
             connection = self._dial()
             return None if connection.dropped else connection
         return shared
 
-    def _can_take_attempt(self, connection: ExecutorConnectionProtocol, request_id: bytes) -> bool:
-        if connection.retiring or connection.paused or connection.is_id_taken(request_id):
+    def _make_room_for_dial(self, request_id: bytes) -> None:
+        """Drop a connection that only an answer to an earlier attempt of the request keeps from taking it."""
+        for connection in self.connections:
+            if connection.is_resting() and not connection.is_id_taken(request_id):
+                self.drop(connection, EndReason.SPENT)
+                return
+
+    def _can_take_attempt(self, connection: ExecutorConnectionProtocol, request: OpaqueRequest) -> bool:
+        if connection.retiring or connection.paused or not connection.can_take(request):
             return False
         return len(connection.open_attempts) < self.streams
 
--- a/petrelway/platform/opaque_request.py
+++ b/petrelway/platform/opaque_request.py
@@ -17,6 +17,8 @@
     function: str
     idempotency_key: str  # empty: none
     body: bytes
+    # numbers of the connections that it was written to; all its attempts carry one id
+    written_to: tuple[int, ...] = ()
 
     def __len__(self) -> int:
         """Return the number of bytes that the dispatcher counts as buffered."""
