A name over its bound is refused, and a message that can't be used costs itself alone

Cause: the event's reader took names of 1,024 characters, the worker's codec 512, and a message that could be read but not used cost its connection. Change: one bound for both, 422 before anything is sent; the worker answers such a message FULL (nothing ran), counts it and logs it once for a connection.

Not done: a worker's message with an amount out of bounds still closes its connection; the other pairs of codecs are not compared by a generated test.

--- a/petrelway/gateway/cloudevent_requests.py
+++ b/petrelway/gateway/cloudevent_requests.py
@@ -10,13 +10,11 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from ..common.request_bounds import COST_BOUND_MS
+from ..common.request_bounds import COST_BOUND_MS, NAME_BOUND
 from ..events.single import Event, EventError
 from .function_catalogue import FunctionCatalogue
 from .function_spec import FunctionSpec
 
-IDEMPOTENCY_KEY_BOUND = 512  # characters; the worker protocol accepts no longer key
-
 
 class ReceivedRequest(NamedTuple):
     """A request as read from an event; request class and tenant are given by index, times in ms."""
@@ -89,6 +87,8 @@
 
     def _function(self, attributes: Mapping[str, str]) -> FunctionSpec:
         name = attributes.get("function", "")
+        if len(name) > NAME_BOUND:
+            raise EventError(422, "function", f"{len(name)} characters", f"{NAME_BOUND} at most")
         function = self.catalogue.find(name) if name else None
         if function is None:
             raise EventError(422, "function", repr(name), "one that the settings list, by name or pattern")
@@ -98,8 +98,8 @@
 def _idempotency_key(attributes: Mapping[str, str]) -> str:
     """Join source and id by a newline, which is escaped in both: no two pairs share one key."""
     key = f"{_escape_newlines(attributes['source'])}\n{_escape_newlines(attributes['id'])}"
-    if len(key) > IDEMPOTENCY_KEY_BOUND:
-        raise EventError(400, "id", f"{len(key)} characters with source", f"{IDEMPOTENCY_KEY_BOUND} at most")
+    if len(key) > NAME_BOUND:
+        raise EventError(400, "id", f"{len(key)} characters with source", f"{NAME_BOUND} at most")
     return key
 
 
--- a/petrelway/wire/codec.py
+++ b/petrelway/wire/codec.py
@@ -2,7 +2,8 @@
 
 docs/wire.md describes the protocol; `listeners.py` has the methods of the listeners. An unknown version, an
 unknown kind of message and malformed bytes raise WireError, whose text is the reason to log when the
-connection is closed.
+connection is closed. A message to an executor that can be read but not used raises UnusableMessageError: it costs
+what it asks for, not its connection.
 """
 
 from __future__ import annotations
@@ -11,13 +12,13 @@
 
 from google.protobuf.message import DecodeError
 
+from ..common.request_bounds import NAME_BOUND
 from . import worker_pb2 as pb
 from .framing import WireError, frame
 from .listeners import ExecutorListener, FrontEndListener, LoadReport
 from .outcomes import ExecutorOutcome, ReplicaWarmth
 
 VERSION = 1
-NAME_BOUND = 512  # characters of a name on the wire
 REPLICAS_BOUND = 16  # replicas that one load request may ask for
 
 
@@ -162,9 +163,20 @@
     listener.greeted(greeting.front_end, greeting.process)
 
 
+class UnusableMessageError(WireError):
+    """A message with a name or an amount out of bounds; `answer` is what its sender is owed, if anything."""
+
+    def __init__(self, reason: WireError, answer: bytes = b"") -> None:
+        super().__init__(str(reason))
+        self.answer = answer
+
+
 def _send_received(send: pb.Send, listener: ExecutorListener) -> None:
-    _check_names(send.mark, send.function, send.tariff, send.customer)
-    _check_amounts(send.memory_mb, send.remaining_ms, send.work_ms)
+    try:
+        _check_names(send.mark, send.function, send.tariff, send.customer)
+        _check_amounts(send.memory_mb, send.remaining_ms, send.work_ms)
+    except WireError as error:
+        raise UnusableMessageError(error, _never_ran(send.serial, send.number)) from error
     listener.sent(
         send.serial,
         send.number,
@@ -185,16 +197,31 @@
     listener.cancelled(withdraw.serial, withdraw.number)
 
 
+def _never_ran(serial: int, number: int) -> bytes:
+    return ended(serial, number, ExecutorOutcome.FULL, ReplicaWarmth.UNKNOWN, 0, LoadReport(), "", b"")
+
+
 def _load_request_received(order: pb.Order, listener: ExecutorListener) -> None:
+    try:
+        _check_load_request(order)
+    except WireError as error:
+        answer = load_request_ended(order.id, ExecutorOutcome.FULL, 0)
+        raise UnusableMessageError(error, answer) from error
+    listener.load_requested(order.id, order.function, order.copies, order.memory_mb, max(1, order.lanes))
+
+
+def _check_load_request(order: pb.Order) -> None:
     _check_names(order.function)
     _check_amounts(order.memory_mb)
     if order.copies > REPLICAS_BOUND:
         raise WireError(f"a load request for {order.copies} replicas is over the bound of {REPLICAS_BOUND}")
-    listener.load_requested(order.id, order.function, order.copies, order.memory_mb, max(1, order.lanes))
 
 
 def _unload_received(unload: pb.Unload, listener: ExecutorListener) -> None:
-    _check_names(unload.function)
+    try:
+        _check_names(unload.function)
+    except WireError as error:
+        raise UnusableMessageError(error) from error
     listener.unloaded(unload.function)
 
 
--- a/petrelway/worker/front_end_connection.py
+++ b/petrelway/worker/front_end_connection.py
@@ -33,6 +33,7 @@
         self.frames = Frames()
         self.front_end = ""
         self.process = ""
+        self.refused_message = False  # which is logged once for a connection
         self.timer = None
 
     def connectionMade(self) -> None:
@@ -48,13 +49,28 @@
         """Decode messages; close the connection at the first one that is malformed."""
         try:
             for payload in self.frames.feed(data):
-                codec.from_front(payload, self)
+                self._message_received(payload)
         except WireError as error:
             self.worker.log.warning(
                 "front-end connection closed", front_end=self.front_end, reason=str(error)
             )
             self.transport.abortConnection()
 
+    def _message_received(self, payload: bytes) -> None:
+        try:
+            codec.from_front(payload, self)
+        except codec.UnusableMessageError as error:
+            self._refuse(error)
+
+    def _refuse(self, error: codec.UnusableMessageError) -> None:
+        """Answer a message that can't be used: what is open beside it on this connection goes on."""
+        self.worker.counts["unusable messages"] += 1
+        if not self.refused_message:
+            self.refused_message = True
+            self.worker.log.warning("unusable message", front_end=self.front_end, reason=str(error))
+        if error.answer:
+            self.transport.write(error.answer)
+
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Have the scheduler stop what this front end waited for."""
         self._stop_timer()
