--- a/petrelway/wire/codec.py
+++ b/petrelway/wire/codec.py
@@ -2,8 +2,8 @@
 
 docs/wire.md describes the protocol; `listeners.py` has the methods of the listeners. An unknown version, an
 unknown kind of message and malformed bytes raise WireError, whose text is the reason to log when the
-connection is closed. A message to an executor that can be read but not used raises UnusableMessageError: it costs
-what it asks for, not its connection.
+connection is closed. A message to an executor that can be read but not used raises UnusableMessageError: it
+costs what it asks for, not its connection.
 """
 
 from __future__ import annotations
