--- a/petrelway/gateway/dispatcher.py
+++ b/petrelway/gateway/dispatcher.py
@@ -41,6 +41,7 @@
     PendingRequest,
     ProbeInFlight,
 )
+from .question_table import QuestionTable
 from .reactor_turns import ReactorTurns
 
 # decisions that may fail in one turn before every unanswered request fails
@@ -94,8 +95,9 @@
         self.functions = IndexTable()
         self.pending: dict[int, PendingRequest] = {}  # by the request's index
         self.known_functions: dict[int, FunctionSpec] = {}  # by the function's index
-        self.load_requests: dict[int, LoadRequestInFlight] = {}  # by the id that is sent to executors
-        self.probes: dict[int, ProbeInFlight] = {}  # by the id that is passed to channels
+        # by the id that is sent to executors, or passed to channels
+        self.load_requests: QuestionTable[LoadRequestInFlight] = QuestionTable(clock)
+        self.probes: QuestionTable[ProbeInFlight] = QuestionTable(clock)
         self.serial = 0
         self.load_request_id = 0
         self.unanswered = 0
@@ -300,11 +302,9 @@
         self, executor: int, load_request_id: int, outcome: Outcome, replicas: int
     ) -> None:
         """Record the outcome of a load request; ignore one that has already ended."""
-        load_request = self.load_requests.pop(load_request_id, None)
+        load_request = self.load_requests.end(load_request_id)
         if load_request is None:
             return
-        if load_request.timer is not None and load_request.timer.active():
-            load_request.timer.cancel()
         now = self.now()
         self.counts[f"order {outcome.label}"] += 1
         self.front_end.load_request_answered(
@@ -314,11 +314,9 @@
 
     def probe_answered(self, executor: int, probe: int, outcome: Outcome, load: codec.LoadReport) -> None:
         """Record the outcome of a health check; ignore one that has already ended."""
-        probe_in_flight = self.probes.pop(probe, None)
+        probe_in_flight = self.probes.end(probe)
         if probe_in_flight is None:
             return
-        if probe_in_flight.timer is not None and probe_in_flight.timer.active():
-            probe_in_flight.timer.cancel()
         self.counts["probed"] += 1
         now = self.now()
         self.front_end.probe_answered(now, executor, outcome, now - probe_in_flight.sent_ms)
@@ -461,14 +459,12 @@
         self.load_request_id += 1
         probe = self.load_request_id
         executor = decision.executor
-        self.probes[probe] = ProbeInFlight(executor, now)
+        self.probes.add(probe, ProbeInFlight(executor, now))
         failed = self.channels[executor].probe(probe)
         if failed is not None:
             self.probe_answered(executor, probe, failed, codec.LoadReport())
             return
-        self.probes[probe].timer = self.clock.callLater(
-            PROBE_TIMEOUT_MS / 1e3, self._probe_timed_out, executor, probe
-        )
+        self.probes.start_timer(probe, PROBE_TIMEOUT_MS, self._probe_timed_out, executor, probe)
 
     def _probe_timed_out(self, executor: int, probe: int) -> None:
         channel = self.channels.get(executor)
@@ -536,16 +532,19 @@
         self.load_request_id += 1
         load_request_id = self.load_request_id
         function = self.known_functions[function_index]
-        load_request = LoadRequestInFlight(executor, function_index, now)
-        self.load_requests[load_request_id] = load_request
+        self.load_requests.add(load_request_id, LoadRequestInFlight(executor, function_index, now))
         failed = self.channels[executor].request_load(
             load_request_id, function.name, replicas, function.memory_mb, function.lanes
         )
         if failed is not None:
             self.load_request_answered(executor, load_request_id, failed, 0)
             return
-        load_request.timer = self.clock.callLater(
-            self.load_request_timeout_ms / 1e3, self._load_request_timed_out, executor, load_request_id
+        self.load_requests.start_timer(
+            load_request_id,
+            self.load_request_timeout_ms,
+            self._load_request_timed_out,
+            executor,
+            load_request_id,
         )
 
     def _load_request_timed_out(self, executor: int, load_request_id: int) -> None:
@@ -593,12 +592,8 @@
         """Fail unanswered requests, cancel everything in flight and close all channels."""
         self.fail_all()
         self.turns.stop()
-        for load_request in self.load_requests.values():
-            if load_request.timer is not None and load_request.timer.active():
-                load_request.timer.cancel()
-        for probe in self.probes.values():
-            if probe.timer is not None and probe.timer.active():
-                probe.timer.cancel()
+        self.load_requests.stop_timers()
+        self.probes.stop_timers()
         for request in list(self.pending.values()):
             for number in sorted(request.in_flight):
                 self._cancel_attempt(request, number)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -246,7 +246,7 @@
     rig.step()
     rig.end(0, serial, Outcome.MISS, warmth=0)
     rig.step(5100.0)
-    assert rig.dispatcher.load_requests == {} and rig.dispatcher.counts["order timeout"] == 1
+    assert rig.dispatcher.load_requests.in_flight == {} and rig.dispatcher.counts["order timeout"] == 1
     assert rig.dispatcher.channels[0].load_requests == {} and rig.completions(serial) == ["nacked"]
 
 
