Tests draw addresses that no other test run can take

Cause, traced: in a run of the suite in five parts side by side test_discovery_soak[5] could not start ("the front ends do not serve"). A free port was drawn on 127.0.0.1 from the system's own range and let go, and another run's stand-in took it before the front end listened. The same was suspected of test_memory_limit[deep_nesting] before. Change: nodes.spare draws on a loopback address of its own process, as the memory soak did; tests/deployments.py draws below the system's range; the soak's error names address, exit code and last lines.

--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -23,6 +24,7 @@
 REQUEST_CLASS = "stamped"
 DEADLINE_MS = 8000.0
 WINDOW_MS = 20_000.0
+PORTS = (10_000, 20_000)  # below the system's own, and below those of rehearsals
 SMALL_WINDOW_BYTES = 1 << 15
 PACKAGE_BYTES = 6 << 20  # more than the system holds for a connection whose other side reads slowly
 # The answer says what this very body asked for, and counts how often the function ran in its process.
@@ -88,8 +90,11 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """Return a port that a process can listen at later: outside the range from which the system draws."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def accepts(port):
--- a/tests/discovery_soak.py
+++ b/tests/discovery_soak.py
@@ -142,6 +142,11 @@
     def signal(self, number: int) -> None:
         self.process.send_signal(number)
 
+    def told(self) -> str:
+        """Whether it serves, its exit code if it has ended, and the last that it wrote."""
+        serves = serving(self.address)
+        return f"{self.address}: serving {serves}, exit {self.process.poll()}, {self.log[-400:]!r}"
+
     def end(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
@@ -306,7 +311,7 @@
         end_s = time.monotonic() + WAIT_S
         while not all(serving(each.address) for each in self.front_ends):
             if time.monotonic() > end_s:
-                raise TimeoutError("the front ends do not serve")
+                raise TimeoutError("; ".join(map(FrontEnd.told, self.front_ends)))
             time.sleep(0.05)
 
     def _start_clients(self) -> None:
--- a/tests/memory_soak.py
+++ b/tests/memory_soak.py
@@ -12,7 +12,6 @@
 import concurrent.futures
 import contextlib
 import json
-import os
 import random
 import signal
 import socket
@@ -23,7 +22,7 @@
 from pathlib import Path
 
 import memory_plays as plays
-from nodes import WAIT_S, Node, serving, start, until
+from nodes import WAIT_S, Node, own_host, serving, start, until
 
 from petrelway.fakes.platform_peers import Executor, Holder, record, request
 
@@ -103,12 +102,6 @@
         return self.soak.lost(f"request {number} had no answer after {took_s:.2f} s", sent_s)
 
 
-def own_address():
-    """An address of this process alone: a free port of 127.0.0.1 may be drawn by others between two lives."""
-    high, low = divmod(os.getpid() % 50_000, 250)
-    return f"127.{high + 20}.{low + 1}.1:8443"
-
-
 class Soak:
     """One seed."""
 
@@ -136,7 +129,7 @@
             known=(1, 2, 3),
             sockets=self.sockets,
             memory_mb=self.limit_mb,
-            address=own_address(),
+            address=f"{own_host()}:8443",
         )
         callers = [Caller(self, index) for index in range(USUAL_CLIENTS)]
         floods = self._floods()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -53,9 +53,17 @@
     return client.hear()["result"]["serving"]
 
 
+def own_host():
+    """Return a loopback address of this process alone: a free port of 127.0.0.1 may be drawn by others."""
+    high, low = divmod(os.getpid() % 50_000, 250)
+    return f"127.{high + 20}.{low + 1}.1"
+
+
 def spare():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return an address that a process can listen at later; no other test run draws it meanwhile."""
+    host = own_host()
+    with socket.create_server((host, 0)) as sock:
+        return f"{host}:{sock.getsockname()[1]}"
 
 
 def until(ready):
